--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Build, demo, test and measure dandelionrack. Needs Go and make only.
+GO ?= go
+DEPLOYMENT ?= kallitexnis
+
+.PHONY: all build demo test lint generate scenarios bench fuzz clean
+
+all: build
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+demo: build
+	./bin/drdemo --deployment $(DEPLOYMENT) --bin bin
+
+test: lint
+	$(GO) test -timeout 8m ./...
+
+lint:
+	@out=$$(gofmt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
+	if [ -n "$$out" ]; then echo "gofmt needed:"; echo "$$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+# Needs protoc; the generated files are committed, so a build does not.
+generate:
+	$(GO) build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	protoc --plugin=bin/protoc-gen-go --go_out=. --go_opt=paths=source_relative pkg/wire/wire.proto
+
+clean:
+	rm -rf bin out
