--- /dev/null
+++ b/pkg/httpserver/httpserver.go
@@ -0,0 +1,114 @@
+// Package httpserver runs go-zero rest routes on a net/http server of our own,
+// so that the process decides when to stop and no middleware refuses requests
+// by its own rules.
+package httpserver
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/proc"
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/chain"
+)
+
+// Limits that keep one caller from exhausting a small instance.
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 32 << 10
+)
+
+// goZeroForceQuit keeps go-zero's own signal handler, which cannot be
+// switched off, from ending the process while requests are still in flight.
+const goZeroForceQuit = 24 * time.Hour
+
+// Config describes one listener.
+type Config struct {
+	Name   string
+	Routes []rest.Route
+	// Fallback handles every request that no route matches; nil answers 404.
+	Fallback http.HandlerFunc
+	// TLS is used when it is not nil.
+	TLS *tls.Config
+	// MaxConnections bounds open connections; more wait in the accept queue.
+	MaxConnections int
+}
+
+// Server serves one listener.
+type Server struct {
+	http *http.Server
+	cfg  Config
+}
+
+var setupOnce sync.Once
+
+// New builds the routes.
+//
+// All rest middlewares are off: Timeout answers 503 while the handler still
+// runs, which would be a false "not run"; Breaker and Shedding refuse by rules
+// of their own; Log and Trace repeat what the request log holds; MaxBytes and
+// MaxConns are enforced here and in the handlers with typed answers; Recover
+// is done by net/http per connection; Gunzip would change the body on which
+// fingerprints are computed.
+func New(cfg Config) (*Server, error) {
+	setupOnce.Do(func() {
+		proc.SetTimeToForceQuit(goZeroForceQuit)
+		logx.Disable()
+	})
+	fallback := cfg.Fallback
+	if fallback == nil {
+		fallback = http.NotFound
+	}
+	var conf rest.RestConf
+	conf.Name = cfg.Name
+	srv, err := rest.NewServer(conf,
+		rest.WithChain(chain.New()),
+		rest.WithNotFoundHandler(fallback),
+		rest.WithNotAllowedHandler(fallback),
+	)
+	if err != nil {
+		return nil, errors.Wrap(err, "rest server")
+	}
+	srv.AddRoutes(cfg.Routes)
+	handler, err := rest.NewServerless(srv)
+	if err != nil {
+		return nil, errors.Wrap(err, "rest routes")
+	}
+	return &Server{
+		cfg: cfg,
+		http: &http.Server{
+			Handler:           http.HandlerFunc(handler.Serve),
+			ReadHeaderTimeout: readHeaderTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+			TLSConfig:         cfg.TLS,
+		},
+	}, nil
+}
+
+// Serve accepts connections until Shutdown. It returns nil after a shutdown.
+func (s *Server) Serve(l net.Listener) error {
+	l = limitConnections(l, s.cfg.MaxConnections)
+	var err error
+	if s.cfg.TLS != nil {
+		err = s.http.ServeTLS(l, "", "")
+	} else {
+		err = s.http.Serve(l)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrapf(err, "serve %s", s.cfg.Name)
+}
+
+// Shutdown closes the listener and waits until no request is in flight.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return errors.Wrapf(s.http.Shutdown(ctx), "shut down %s", s.cfg.Name)
+}
