--- /dev/null
+++ b/pkg/entry/callers.go
@@ -0,0 +1,381 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/dandelionrack/dandelionrack/pkg/claim"
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/lookup"
+	"github.com/dandelionrack/dandelionrack/pkg/trace"
+	"github.com/dandelionrack/dandelionrack/pkg/wire"
+)
+
+const callPrefix = "/v1/call/"
+
+// LookupAnswer is the body of GET /v1/lookup.
+type LookupAnswer struct {
+	Service       string        `json:"service"`
+	ConfigVersion uint64        `json:"config_version"`
+	TTLMS         int64         `json:"ttl_ms"`
+	Entries       []LookupEntry `json:"entries"`
+}
+
+// LookupEntry is one entry instance that a caller may use, best first.
+type LookupEntry struct {
+	ID            string `json:"id"`
+	Addr          string `json:"addr"`
+	FailureDomain string `json:"failure_domain"`
+	Region        string `json:"region"`
+}
+
+// KeyAnswer is the body of POST /v1/keys.
+type KeyAnswer struct {
+	Service string    `json:"service"`
+	Key     string    `json:"key"`
+	Entry   string    `json:"entry"`
+	Expires time.Time `json:"expires"`
+}
+
+func (e *Entry) callerRoutes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodGet, Path: "/v1/lookup", Handler: e.handleLookup},
+		{Method: http.MethodPost, Path: "/v1/keys", Handler: e.handleKeys},
+		{Method: http.MethodGet, Path: "/v1/ready", Handler: e.handleReady},
+	}
+}
+
+// handleReady lets callers and test programs see whether this entry instance
+// has a configuration and is not leaving.
+func (e *Entry) handleReady(w http.ResponseWriter, _ *http.Request) {
+	state := e.state()
+	if state != wire.EntryState_ENTRY_STATE_READY {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_, _ = io.WriteString(w, strings.ToLower(strings.TrimPrefix(state.String(), "ENTRY_STATE_"))+"\n")
+}
+
+func (e *Entry) handleLookup(w http.ResponseWriter, r *http.Request) {
+	e.metrics.lookups.Add(1)
+	v := e.currentView()
+	if v == nil {
+		e.refuse(w, "", notRun(ReasonNotReady, "no configuration known yet"))
+		return
+	}
+	contract, ok := v.contractOf(bearerToken(r))
+	if !ok {
+		e.refuse(w, "", notRun(ReasonUnauthorized, "bearer token belongs to no contract"))
+		return
+	}
+	svc, ok := contract.FindService(r.URL.Query().Get("service"))
+	if !ok {
+		e.refuse(w, "", notRun(ReasonUnknownService, "service %q is not in the contract", r.URL.Query().Get("service")))
+		return
+	}
+	addr, err := e.clientAddr(r)
+	if err != nil {
+		e.refuse(w, "", notRun(ReasonBadRequest, "client address: %v", err))
+		return
+	}
+	writeJSON(w, http.StatusOK, LookupAnswer{
+		Service:       svc.Name,
+		ConfigVersion: v.doc.Version,
+		TTLMS:         e.settings.LookupTTL.Std().Milliseconds(),
+		Entries:       e.rankEntries(v, addr),
+	})
+}
+
+func (e *Entry) rankEntries(v *view, addr netip.Addr) []LookupEntry {
+	from, ok := v.locator.Locate(addr)
+	if !ok {
+		from = e.settings.FailureDomain
+	}
+	ranked := lookup.Rank(&v.doc.Deployment, from, addr, e.entryState)
+	out := make([]LookupEntry, 0, len(ranked))
+	for _, in := range ranked {
+		out = append(out, LookupEntry{
+			ID:            in.ID,
+			Addr:          in.CallerAddr,
+			FailureDomain: in.FailureDomain,
+			Region:        v.regions[in.FailureDomain],
+		})
+	}
+	return out
+}
+
+// clientAddr is the address that decides the caller's home region.
+func (e *Entry) clientAddr(r *http.Request) (netip.Addr, error) {
+	if e.settings.AllowClientAddress {
+		if named := r.URL.Query().Get("client"); named != "" {
+			return netip.ParseAddr(named)
+		}
+		if named := r.Header.Get("Client-Address"); named != "" {
+			return netip.ParseAddr(named)
+		}
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return netip.Addr{}, err
+	}
+	return netip.ParseAddr(host)
+}
+
+func (e *Entry) handleKeys(w http.ResponseWriter, r *http.Request) {
+	v := e.currentView()
+	if v == nil || e.state() != wire.EntryState_ENTRY_STATE_READY {
+		e.refuse(w, "", notRun(ReasonNotReady, "this entry instance issues no keys now"))
+		return
+	}
+	contract, ok := v.contractOf(bearerToken(r))
+	if !ok {
+		e.refuse(w, "", notRun(ReasonUnauthorized, "bearer token belongs to no contract"))
+		return
+	}
+	svc, ok := contract.FindService(r.URL.Query().Get("service"))
+	if !ok {
+		e.refuse(w, "", notRun(ReasonUnknownService, "service %q is not in the contract", r.URL.Query().Get("service")))
+		return
+	}
+	now := time.Now()
+	writeJSON(w, http.StatusOK, KeyAnswer{
+		Service: svc.Name,
+		Key:     claim.NewIssuedKey(e.self, now),
+		Entry:   e.settings.ID,
+		Expires: now.Add(claim.MaxKeyAge),
+	})
+}
+
+// handleCall serves /v1/call/{service}/{path}.
+func (e *Entry) handleCall(w http.ResponseWriter, r *http.Request) {
+	if !strings.HasPrefix(r.URL.Path, callPrefix) {
+		http.NotFound(w, r)
+		return
+	}
+	e.metrics.requests.Add(1)
+	id := newRequestID()
+	req, refusal := e.readRequest(r, id)
+	if refusal != nil {
+		e.metrics.countRefusal(refusal.reason)
+		e.log.Debug("request refused", "request", id, "reason", refusal.reason, "detail", refusal.message)
+		e.refuse(w, id, *refusal)
+		return
+	}
+	defer e.buffers.release(int64(len(req.body)))
+	e.inFlight.Add(1)
+	defer e.inFlight.Done()
+
+	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
+	defer cancel()
+	rep := e.serve(ctx, req)
+	e.finish(req, rep)
+	e.writeReply(w, req, rep)
+}
+
+// newRequestID returns a UUID version 7: the archive finds the spans of a
+// request by the time that the id carries.
+func newRequestID() string {
+	return uuid.Must(uuid.NewV7()).String()
+}
+
+// readRequest checks a caller's request against the contract. On a refusal
+// nothing was sent anywhere.
+func (e *Entry) readRequest(r *http.Request, id string) (*request, *reply) {
+	v := e.currentView()
+	if v == nil {
+		return nil, refusal(ReasonNotReady, "no configuration known yet")
+	}
+	contract, ok := v.contractOf(bearerToken(r))
+	if !ok {
+		return nil, refusal(ReasonUnauthorized, "bearer token belongs to no contract")
+	}
+	name, path := splitCallPath(r.URL.EscapedPath())
+	svc, ok := contract.FindService(name)
+	if !ok {
+		return nil, refusal(ReasonUnknownService, "service %q is not in the contract", name)
+	}
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	now := time.Now()
+	timeout, bad := requestTimeout(r, svc)
+	if bad != nil {
+		return nil, bad
+	}
+	key, bad := requestKey(r, svc, now)
+	if bad != nil {
+		return nil, bad
+	}
+	addr, err := e.clientAddr(r)
+	if err != nil {
+		return nil, refusal(ReasonBadRequest, "client address: %v", err)
+	}
+	if !e.allowRate(contract.Customer, svc.Name, now) {
+		return nil, refusal(ReasonRateLimit, "the contract's rate for this service is used up at this entry instance")
+	}
+	body, bad := e.readBody(r)
+	if bad != nil {
+		return nil, bad
+	}
+	return &request{
+		id:         id,
+		view:       v,
+		contract:   contract,
+		service:    svc,
+		homeRegion: v.homeRegion(addr, e.region),
+		method:     r.Method,
+		path:       path,
+		header:     endToEndHeader(r.Header),
+		body:       body,
+		deadline:   now.Add(timeout),
+		received:   now,
+		key:        key,
+	}, nil
+}
+
+// readBody reads the whole body into memory, within the limits of one request
+// and of this instance.
+func (e *Entry) readBody(r *http.Request) ([]byte, *reply) {
+	if r.ContentLength > e.settings.MaxRequestBytes {
+		return nil, refusal(ReasonTooLarge, "body is larger than %d bytes", e.settings.MaxRequestBytes)
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, e.settings.MaxRequestBytes+1))
+	if err != nil {
+		return nil, refusal(ReasonBadRequest, "body could not be read whole: %v", err)
+	}
+	if int64(len(body)) > e.settings.MaxRequestBytes {
+		return nil, refusal(ReasonTooLarge, "body is larger than %d bytes", e.settings.MaxRequestBytes)
+	}
+	if !e.buffers.acquire(int64(len(body))) {
+		return nil, refusal(ReasonOverload, "bodies in flight use up this entry instance's memory limit")
+	}
+	return body, nil
+}
+
+func refusal(reason Reason, format string, args ...any) *reply {
+	r := notRun(reason, format, args...)
+	return &r
+}
+
+// splitCallPath splits "/v1/call/{service}/{path}" into service and "/path".
+func splitCallPath(escaped string) (service, path string) {
+	rest := strings.TrimPrefix(escaped, callPrefix)
+	service, path, _ = strings.Cut(rest, "/")
+	return service, "/" + path
+}
+
+func bearerToken(r *http.Request) string {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return token
+}
+
+// requestTimeout is the caller's timeout, bounded by the contract.
+func requestTimeout(r *http.Request, svc *config.Service) (time.Duration, *reply) {
+	text := r.Header.Get(HeaderRequestTimeout)
+	if text == "" {
+		return svc.Timeout.Std(), nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms <= 0 {
+		return 0, refusal(ReasonBadRequest, "%s must be a positive number of milliseconds, got %q", HeaderRequestTimeout, text)
+	}
+	if ms >= svc.Timeout.Std().Milliseconds() {
+		return svc.Timeout.Std(), nil
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// requestKey checks the idempotency key of a service that is not idempotent.
+func requestKey(r *http.Request, svc *config.Service, now time.Time) (claim.Key, *reply) {
+	if svc.Idempotent {
+		return claim.Key{}, nil
+	}
+	raw := r.Header.Get(HeaderIdempotencyKey)
+	if raw == "" {
+		return claim.Key{}, refusal(ReasonKeyMissing, "service %s runs at most once and needs an %s header", svc.Name, HeaderIdempotencyKey)
+	}
+	key, err := claim.ParseKey(raw)
+	if err != nil {
+		return claim.Key{}, refusal(ReasonKeyInvalid, "%s: %v", HeaderIdempotencyKey, err)
+	}
+	if err := key.CheckAge(now); err != nil {
+		return claim.Key{}, refusal(ReasonKeyExpired, "%s: %v", HeaderIdempotencyKey, err)
+	}
+	return key, nil
+}
+
+// finish records the end of a request.
+func (e *Entry) finish(req *request, rep reply) {
+	took := time.Since(req.received)
+	good := rep.answered() && rep.status < http.StatusInternalServerError
+	if limit := req.service.Objective.Latency.Std(); limit > 0 && took > limit {
+		good = false
+	}
+	e.burn.Record(time.Now(), req.contract.Customer, req.service.Name, good)
+	if !rep.answered() {
+		e.metrics.countRefusal(rep.reason)
+	}
+	e.metrics.countOutcome(rep.outcome)
+	e.span(req, trace.Span{
+		Kind:          "end",
+		BackendServer: rep.server,
+		Peer:          rep.entry,
+		Reason:        string(rep.reason),
+		Outcome:       outcomeName(rep.outcome),
+		DurationUS:    took.Microseconds(),
+	})
+	e.log.Debug("request ended", "request", req.id, "customer", req.contract.Customer,
+		"service", req.service.Name, "contract_version", req.contract.Version,
+		"config_version", req.view.doc.Version, "outcome", outcomeName(rep.outcome),
+		"reason", rep.reason, "backend_server", rep.server, "took", took)
+}
+
+func (e *Entry) writeReply(w http.ResponseWriter, req *request, rep reply) {
+	h := w.Header()
+	h.Set(HeaderConfigVersion, strconv.FormatUint(req.view.doc.Version, 10))
+	if !rep.answered() {
+		e.refuse(w, req.id, rep)
+		return
+	}
+	for name, values := range endToEndHeader(rep.header) {
+		h[name] = values
+	}
+	h.Set(HeaderConfigVersion, strconv.FormatUint(req.view.doc.Version, 10))
+	h.Set(HeaderRequestID, req.id)
+	h.Set(HeaderOutcome, outcomeName(rep.outcome))
+	h.Set(HeaderEntry, e.settings.ID)
+	h.Set(HeaderBackendServer, rep.server)
+	if req.method != http.MethodHead {
+		h.Set("Content-Length", strconv.Itoa(len(rep.body)))
+	}
+	w.WriteHeader(rep.status)
+	_, _ = w.Write(rep.body)
+}
+
+func (e *Entry) refuse(w http.ResponseWriter, id string, rep reply) {
+	status, body := rep.refusal(id)
+	w.Header().Set(HeaderOutcome, body.Outcome)
+	w.Header().Set(HeaderEntry, e.settings.ID)
+	if id != "" {
+		w.Header().Set(HeaderRequestID, id)
+	}
+	writeJSON(w, status, body)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/pkg/entry/configsync.go
@@ -0,0 +1,156 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/wire"
+)
+
+const (
+	// configPollInterval bounds how old the configuration can be when a push
+	// was lost and the table service can be reached.
+	configPollInterval = time.Second
+	configCallTimeout  = 2 * time.Second
+)
+
+// adopt takes a document if it is newer than the current one.
+func (e *Entry) adopt(doc *config.Document, source string) {
+	if doc == nil || !e.holder.Offer(doc) {
+		return
+	}
+	if err := e.applyConfig(); err != nil {
+		e.log.Error("configuration cannot be used; keeping the previous one",
+			"version", doc.Version, "source", source, "error", err)
+		return
+	}
+	e.log.Info("configuration in force", "version", doc.Version, "source", source, "change", doc.Change.Summary)
+}
+
+// applyConfig derives everything from the newest document. Concurrent calls
+// end with the newest version in force, because each one reads it under the
+// lock.
+func (e *Entry) applyConfig() error {
+	e.applyMu.Lock()
+	defer e.applyMu.Unlock()
+	doc := e.holder.Current()
+	if old := e.currentView(); old != nil && old.doc.Version >= doc.Version {
+		return nil
+	}
+	v, err := newView(doc)
+	if err != nil {
+		return err
+	}
+	e.view.Store(v)
+	now := time.Now()
+	e.membershipUpdate(func() { e.members.SetPeers(now, doc.Deployment.EntryInstances) })
+	e.applyLimits(v, now)
+	e.applyServers(v)
+	e.poller.SetServers(pollTargets(v, e.settings.FailureDomain))
+	e.metrics.configVersion.Set(int64(doc.Version))
+	return nil
+}
+
+func (e *Entry) runConfigPoll(ctx context.Context) {
+	t := time.NewTicker(configPollInterval)
+	defer t.Stop()
+	for {
+		e.pollConfig(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// pollConfig reads the stored document and, while none is known, asks the
+// seeds as well: the platform may be down when an instance is replaced.
+func (e *Entry) pollConfig(ctx context.Context) {
+	if e.currentView() == nil {
+		for _, addr := range e.settings.Seeds {
+			go e.fetchConfig(ctx, addr)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, configCallTimeout)
+	defer cancel()
+	doc, err := e.store.Load(ctx)
+	if err != nil {
+		e.metrics.storeErrors.Add(1)
+		e.log.Debug("configuration could not be read from the table service", "error", err)
+		return
+	}
+	e.adopt(doc, "table service")
+}
+
+// fetchConfig asks a peer for a document newer than ours.
+func (e *Entry) fetchConfig(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, configCallTimeout)
+	defer cancel()
+	rep, err := e.peers.Call(ctx, addr, &wire.Request{Call: &wire.Request_ConfigFetch{
+		ConfigFetch: &wire.ConfigFetch{HaveVersion: e.configVersion()},
+	}})
+	if err != nil {
+		e.log.Debug("configuration could not be read from a peer", "peer", addr, "error", err)
+		return
+	}
+	data := rep.GetConfig().GetDocument()
+	if len(data) == 0 {
+		return
+	}
+	doc, err := config.Decode(data)
+	if err != nil {
+		e.log.Warn("peer sent a configuration that cannot be read", "peer", addr, "error", err)
+		return
+	}
+	e.adopt(doc, "peer "+addr)
+}
+
+// pushConfig sends a document to all peers at once. A peer that misses it
+// learns the version from heartbeats.
+func (e *Entry) pushConfig(doc *config.Document) {
+	data, err := config.Encode(doc)
+	if err != nil {
+		e.log.Error("configuration could not be encoded", "error", err)
+		return
+	}
+	for _, peer := range doc.Deployment.EntryInstances {
+		if peer.ID == e.settings.ID {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), configCallTimeout)
+			defer cancel()
+			_, err := e.peers.Call(ctx, peer.PeerAddr, &wire.Request{Call: &wire.Request_ConfigPush{
+				ConfigPush: &wire.ConfigPush{Version: doc.Version, Document: data},
+			}})
+			if err != nil {
+				e.log.Debug("configuration could not be pushed", "peer", peer.ID, "error", err)
+			}
+		}()
+	}
+}
+
+func (e *Entry) handleConfigFetch(f *wire.ConfigFetch) *wire.Response {
+	doc := e.holder.Current()
+	out := &wire.ConfigDocument{}
+	if doc != nil && doc.Version > f.GetHaveVersion() {
+		data, err := config.Encode(doc)
+		if err != nil {
+			return &wire.Response{Error: err.Error()}
+		}
+		out.Version = doc.Version
+		out.Document = data
+	}
+	return &wire.Response{Reply: &wire.Response_Config{Config: out}}
+}
+
+func (e *Entry) handleConfigPush(p *wire.ConfigPush) *wire.Response {
+	doc, err := config.Decode(p.GetDocument())
+	if err != nil {
+		return &wire.Response{Error: err.Error()}
+	}
+	e.adopt(doc, "push")
+	return &wire.Response{Reply: &wire.Response_Config{Config: &wire.ConfigDocument{Version: e.configVersion()}}}
+}
--- /dev/null
+++ b/pkg/entry/entry.go
@@ -0,0 +1,302 @@
+// Package entry assembles one entry instance: listeners for callers, operators
+// and peers, the request path, and the timers that drive the pure packages.
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dandelionrack/dandelionrack/pkg/admission"
+	"github.com/dandelionrack/dandelionrack/pkg/backend"
+	"github.com/dandelionrack/dandelionrack/pkg/burn"
+	"github.com/dandelionrack/dandelionrack/pkg/claim"
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/configstore"
+	"github.com/dandelionrack/dandelionrack/pkg/httpserver"
+	"github.com/dandelionrack/dandelionrack/pkg/membership"
+	"github.com/dandelionrack/dandelionrack/pkg/peer"
+	"github.com/dandelionrack/dandelionrack/pkg/platform"
+	"github.com/dandelionrack/dandelionrack/pkg/trace"
+	"github.com/dandelionrack/dandelionrack/pkg/wire"
+)
+
+// Entry is one entry instance.
+type Entry struct {
+	settings Settings
+	self     claim.Incarnation
+	log      hclog.Logger
+	metrics  *metrics
+
+	platform platform.Platform
+	store    *configstore.Store
+	holder   *config.Holder
+	applyMu  sync.Mutex
+	view     atomic.Pointer[view]
+	region   string
+	fetching atomic.Bool
+
+	gate     *gate
+	limits   *limits
+	claims   *claim.Manager
+	backends *backend.Pool
+	poller   *backend.Poller
+	buffers  byteBudget
+
+	membersMu    sync.Mutex
+	members      *membership.Members
+	heartbeatSeq atomic.Uint64
+	peers        *peer.Pool
+	peerServer   *peer.Server
+
+	leavingMu       sync.Mutex
+	leavingPlatform map[string]bool
+	leavingHealth   map[string]bool
+
+	confirmMu      sync.Mutex
+	confirmed      map[string]bool
+	holdOffCleared bool
+
+	burn     *burn.Recorder
+	spans    *trace.Ring
+	archiver *trace.Archiver
+
+	callers   *httpserver.Server
+	operators *httpserver.Server
+
+	leaving  atomic.Bool
+	inFlight sync.WaitGroup
+}
+
+// newIncarnationNumber orders the runs of an entry instance: the start time in
+// milliseconds, then random bits for starts within the same millisecond.
+func newIncarnationNumber(now time.Time) uint64 {
+	var random [8]byte
+	_, _ = rand.Read(random[:])
+	const randomBits = 20
+	return uint64(now.UnixMilli())<<randomBits | binary.BigEndian.Uint64(random[:])>>(64-randomBits)
+}
+
+// New builds an entry instance. Nothing listens before Run.
+func New(settings Settings, logger hclog.Logger) (*Entry, error) {
+	settings.SetDefaults()
+	now := time.Now()
+	self := claim.Incarnation{Entry: settings.ID, Number: newIncarnationNumber(now)}
+	e := &Entry{
+		settings:        settings,
+		self:            self,
+		log:             logger.With("entry", settings.ID),
+		metrics:         newMetrics(),
+		platform:        platform.NewClient(platform.ClientConfig{BaseURL: settings.PlatformURL, Timeout: configCallTimeout}),
+		holder:          &config.Holder{},
+		backends:        backend.NewPool(backend.Config{}),
+		buffers:         byteBudget{limit: settings.MaxBufferedBytes},
+		members:         membership.New(membership.Config{Self: settings.ID}),
+		leavingPlatform: map[string]bool{},
+		leavingHealth:   map[string]bool{},
+		confirmed:       map[string]bool{},
+		burn:            burn.New(burn.Config{}),
+		spans:           trace.NewRing(trace.RingConfig{}),
+	}
+	e.store = configstore.New(e.platform, newRequestID)
+	e.limits = newLimits(now)
+	e.archiver = trace.NewArchiver(trace.ArchiverConfig{Entry: settings.ID, Objects: e.platform, Logger: e.log})
+	e.claims = claim.NewManager(claim.Config{
+		Self:    self,
+		Table:   e.platform,
+		Entries: e.configuredEntries,
+		Logger:  e.log,
+	})
+	e.peers = peer.NewPool(peer.Config{Self: settings.ID, Incarnation: self.Number, Logger: e.log})
+	e.peerServer = peer.NewServer(peer.Config{Self: settings.ID, Incarnation: self.Number, Handler: e, Logger: e.log})
+	return e, e.buildListeners()
+}
+
+func (e *Entry) buildListeners() error {
+	var err error
+	e.callers, err = httpserver.New(httpserver.Config{
+		Name:           "callers",
+		Routes:         e.callerRoutes(),
+		Fallback:       e.handleCall,
+		MaxConnections: e.settings.MaxCallerConnections,
+	})
+	if err != nil {
+		return err
+	}
+	tlsConfig, err := e.settings.TLS.load()
+	if err != nil {
+		return err
+	}
+	e.operators, err = httpserver.New(httpserver.Config{
+		Name:   "operators",
+		Routes: e.operatorRoutes(),
+		TLS:    tlsConfig,
+	})
+	return err
+}
+
+// Run serves until ctx ends and then stops gracefully. It returns after no
+// request is in flight.
+func (e *Entry) Run(ctx context.Context) error {
+	listeners, err := e.listen()
+	if err != nil {
+		return err
+	}
+	e.gate = newGate(admission.New(admission.Config{
+		// Seats that borrow from this one stop at the latest when their
+		// evidence lapses, twice lentFor after the last refused connection.
+		Start:         time.Now().Add(lentFor),
+		NoPredecessor: e.settings.NoPredecessor,
+	}))
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	e.poller = backend.NewPoller(background, backend.PollerConfig{}, e.handleReport)
+	group, groupCtx := errgroup.WithContext(background)
+	group.Go(func() error { return e.callers.Serve(listeners.callers) })
+	group.Go(func() error { return e.operators.Serve(listeners.operators) })
+	group.Go(func() error { return e.peerServer.Serve(listeners.peers) })
+	e.startTimers(groupCtx, group)
+	e.log.Info("entry instance started", "incarnation", e.self.Number, "callers", e.settings.CallerAddr,
+		"peers", e.settings.PeerAddr, "operators", e.settings.OperatorAddr)
+
+	select {
+	case <-ctx.Done():
+		e.stop()
+	case <-groupCtx.Done():
+		e.log.Error("entry instance failed; stopping")
+	}
+	cancel()
+	e.peers.Close()
+	e.backends.Close()
+	return group.Wait()
+}
+
+func (e *Entry) startTimers(ctx context.Context, group *errgroup.Group) {
+	for _, run := range []func(context.Context){
+		e.gate.run,
+		e.runConfigPoll,
+		e.runHeartbeats,
+		e.runInstanceList,
+	} {
+		group.Go(func() error {
+			run(ctx)
+			return nil
+		})
+	}
+	group.Go(func() error { return untilCanceled(ctx, e.claims.Run) })
+	group.Go(func() error { return untilCanceled(ctx, e.archiver.Run) })
+}
+
+// untilCanceled drops the error that only says that the context ended.
+func untilCanceled(ctx context.Context, run func(context.Context) error) error {
+	err := run(ctx)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+type listeners struct {
+	callers, operators, peers net.Listener
+}
+
+func (e *Entry) listen() (*listeners, error) {
+	var out listeners
+	for _, l := range []struct {
+		addr string
+		into *net.Listener
+	}{
+		{e.settings.CallerAddr, &out.callers},
+		{e.settings.OperatorAddr, &out.operators},
+		{e.settings.PeerAddr, &out.peers},
+	} {
+		listener, err := net.Listen("tcp", l.addr)
+		if err != nil {
+			return nil, errors.Wrapf(err, "listen on %s", l.addr)
+		}
+		*l.into = listener
+	}
+	return &out, nil
+}
+
+// Handle answers the calls of peers.
+func (e *Entry) Handle(ctx context.Context, req *wire.Request) *wire.Response {
+	switch call := req.GetCall().(type) {
+	case *wire.Request_Heartbeat:
+		return e.handleHeartbeat(ctx, call.Heartbeat)
+	case *wire.Request_Forward:
+		return e.handleForward(ctx, call.Forward)
+	case *wire.Request_ConfigFetch:
+		return e.handleConfigFetch(call.ConfigFetch)
+	case *wire.Request_ConfigPush:
+		return e.handleConfigPush(call.ConfigPush)
+	case *wire.Request_Leave:
+		return e.handleLeave(req.GetFromEntry(), req.GetFromIncarnation(), call.Leave)
+	case *wire.Request_TraceQuery:
+		return e.handleTraceQuery(call.TraceQuery)
+	case *wire.Request_BurnQuery:
+		return e.handleBurnQuery()
+	case *wire.Request_StatusQuery:
+		return e.handleStatusQuery(call.StatusQuery)
+	default:
+		return &wire.Response{Error: "unknown call"}
+	}
+}
+
+func (e *Entry) currentView() *view { return e.view.Load() }
+
+func (e *Entry) configVersion() uint64 {
+	if v := e.currentView(); v != nil {
+		return v.doc.Version
+	}
+	return 0
+}
+
+func (e *Entry) configuredEntries() int {
+	if v := e.currentView(); v != nil {
+		return len(v.doc.Deployment.EntryInstances)
+	}
+	return 1
+}
+
+func (e *Entry) state() wire.EntryState {
+	switch {
+	case e.leaving.Load():
+		return wire.EntryState_ENTRY_STATE_LEAVING
+	case e.currentView() == nil:
+		return wire.EntryState_ENTRY_STATE_NOT_READY
+	default:
+		return wire.EntryState_ENTRY_STATE_READY
+	}
+}
+
+// serve runs a caller's request to its end.
+func (e *Entry) serve(ctx context.Context, req *request) reply {
+	if req.service.Idempotent {
+		return e.steer(ctx, req)
+	}
+	return e.serveOnce(ctx, req)
+}
+
+// span records one step of a request in the ring and for the archive.
+func (e *Entry) span(req *request, s trace.Span) {
+	s.RequestID = req.id
+	s.At = time.Now()
+	s.Entry = e.settings.ID
+	s.FailureDomain = e.settings.FailureDomain
+	s.Customer = req.contract.Customer
+	s.Service = req.service.Name
+	s.ContractVersion = req.contract.Version
+	s.ConfigVersion = req.view.doc.Version
+	e.spans.Add(s)
+	e.archiver.Add(s)
+}
--- /dev/null
+++ b/pkg/entry/forward.go
@@ -0,0 +1,218 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionrack/dandelionrack/pkg/claim"
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/peer"
+	"github.com/dandelionrack/dandelionrack/pkg/trace"
+	"github.com/dandelionrack/dandelionrack/pkg/wire"
+)
+
+// reasonPeerUnreachable marks a forward of which not one byte left; another
+// candidate can be tried. Callers never see it.
+const reasonPeerUnreachable Reason = "peer_unreachable"
+
+// forwardMargin is taken off the time that a peer gets, so that its refusal
+// arrives before the deadline here. Without it a late refusal of an
+// at-most-once request would end as unknown.
+const forwardMargin = 10 * time.Millisecond
+
+// minForwardTime is the least time left with which a forward is useful.
+const minForwardTime = 5 * time.Millisecond
+
+type forwardOptions struct {
+	entry   config.EntryInstance
+	attempt uint32
+	owner   bool
+	noQueue bool
+	exclude []string
+}
+
+// forward sends a request to a peer and waits for its end.
+func (e *Entry) forward(ctx context.Context, req *request, o forwardOptions) reply {
+	region := req.view.regions[o.entry.FailureDomain]
+	margin := forwardMargin + 2*e.linkDelay(req.view, region)
+	left := req.timeLeft(time.Now()) - margin
+	if left < minForwardTime {
+		return notRun(ReasonDeadline, "not enough time left to use entry instance %s", o.entry.ID)
+	}
+	bytes, ok := e.reserveLink(region, req)
+	if !ok {
+		return notRun(ReasonLinkBudget, "the byte budget to region %s is used up", region)
+	}
+	started := time.Now()
+	res, err := e.peers.Call(ctx, o.entry.PeerAddr, &wire.Request{Call: &wire.Request_Forward{
+		Forward: forwardMessage(req, o, left),
+	}})
+	rep := e.forwardResult(req, o, res, err)
+	e.settleLink(region, bytes, req, rep)
+	e.span(req, trace.Span{
+		Kind:          "forward",
+		Attempt:       int(o.attempt),
+		Peer:          o.entry.ID,
+		BackendServer: rep.server,
+		Reason:        string(rep.reason),
+		Outcome:       outcomeName(rep.outcome),
+		DurationUS:    time.Since(started).Microseconds(),
+	})
+	return rep
+}
+
+func forwardMessage(req *request, o forwardOptions, left time.Duration) *wire.Forward {
+	return &wire.Forward{
+		RequestId:      req.id,
+		Attempt:        o.attempt,
+		Customer:       req.contract.Customer,
+		Service:        req.service.Name,
+		HomeRegion:     req.homeRegion,
+		ConfigVersion:  req.view.doc.Version,
+		TimeoutMs:      left.Milliseconds(),
+		Method:         req.method,
+		Path:           req.path,
+		Headers:        headersToWire(req.header),
+		Body:           req.body,
+		IdempotencyKey: req.key.Raw,
+		Owner:          o.owner,
+		NoQueue:        o.noQueue,
+		AtMostOnce:     !req.service.Idempotent,
+		ExcludeServers: o.exclude,
+	}
+}
+
+// forwardResult turns the outcome of a peer call into a reply. Only an error
+// that proves that the peer cannot have handled the request counts as not run.
+func (e *Entry) forwardResult(req *request, o forwardOptions, res *wire.Response, err error) reply {
+	if errors.Is(err, peer.ErrRefused) || errors.Is(err, peer.ErrNotSent) {
+		e.membershipUpdate(func() {
+			e.members.HandleFailure(time.Now(), o.entry.ID, errors.Is(err, peer.ErrRefused))
+		})
+		return notRun(reasonPeerUnreachable, "entry instance %s cannot be reached: %v", o.entry.ID, err)
+	}
+	if err != nil {
+		return unknownOutcome(ReasonConnectionLost, "entry instance %s gave no answer: %v", o.entry.ID, err)
+	}
+	f := res.GetForward()
+	if f == nil {
+		return unknownOutcome(ReasonConnectionLost, "entry instance %s gave no usable answer: %s", o.entry.ID, res.GetError())
+	}
+	if f.GetRequestId() != req.id || f.GetAttempt() != o.attempt {
+		e.metrics.mismatchedReplies.Add(1)
+		return unknownOutcome(ReasonConnectionLost, "entry instance %s answered another request", o.entry.ID)
+	}
+	return replyFromWire(f)
+}
+
+func replyFromWire(f *wire.ForwardReply) reply {
+	return reply{
+		outcome: f.GetOutcome(),
+		reason:  Reason(f.GetReason()),
+		message: f.GetMessage(),
+		status:  int(f.GetStatus()),
+		header:  headersFromWire(f.GetHeaders()),
+		body:    f.GetBody(),
+		server:  f.GetBackendServer(),
+		entry:   f.GetEntry(),
+	}
+}
+
+func headersToWire(h http.Header) []*wire.Header {
+	out := make([]*wire.Header, 0, len(h))
+	for name, values := range h {
+		out = append(out, &wire.Header{Name: name, Values: values})
+	}
+	return out
+}
+
+func headersFromWire(hs []*wire.Header) http.Header {
+	out := make(http.Header, len(hs))
+	for _, h := range hs {
+		out[http.CanonicalHeaderKey(h.GetName())] = h.GetValues()
+	}
+	return out
+}
+
+// handleForward serves a request that a peer passed on.
+func (e *Entry) handleForward(ctx context.Context, f *wire.Forward) *wire.Response {
+	e.inFlight.Add(1)
+	defer e.inFlight.Done()
+	rep := e.serveForward(ctx, f)
+	return &wire.Response{Reply: &wire.Response_Forward{Forward: &wire.ForwardReply{
+		RequestId:     f.GetRequestId(),
+		Attempt:       f.GetAttempt(),
+		Outcome:       rep.outcome,
+		Reason:        string(rep.reason),
+		Message:       rep.message,
+		Status:        int32(rep.status),
+		Headers:       headersToWire(rep.header),
+		Body:          rep.body,
+		BackendServer: rep.server,
+		Entry:         e.settings.ID,
+	}}}
+}
+
+func (e *Entry) serveForward(ctx context.Context, f *wire.Forward) reply {
+	req, bad := e.forwardedRequest(f)
+	if bad != nil {
+		return *bad
+	}
+	deadline := req.deadline
+	if f.GetAtMostOnce() {
+		ctx = context.WithoutCancel(ctx)
+		deadline = deadline.Add(recordGrace)
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	if f.GetOwner() {
+		return e.serveOwned(ctx, req)
+	}
+	return e.admitAndCall(ctx, req, admitOptions{
+		attempt: f.GetAttempt(),
+		noQueue: f.GetNoQueue(),
+		exclude: f.GetExcludeServers(),
+	})
+}
+
+// forwardedRequest rebuilds the request under this instance's configuration.
+func (e *Entry) forwardedRequest(f *wire.Forward) (*request, *reply) {
+	v := e.currentView()
+	if v == nil {
+		return nil, refusal(ReasonNotReady, "no configuration known yet")
+	}
+	contract, ok := v.doc.Contracts[f.GetCustomer()]
+	if !ok {
+		return nil, refusal(ReasonUnknownService, "customer %q has no contract here", f.GetCustomer())
+	}
+	svc, ok := contract.FindService(f.GetService())
+	if !ok {
+		return nil, refusal(ReasonUnknownService, "service %q is not in the contract", f.GetService())
+	}
+	var key claim.Key
+	if f.GetIdempotencyKey() != "" {
+		parsed, err := claim.ParseKey(f.GetIdempotencyKey())
+		if err != nil {
+			return nil, refusal(ReasonKeyInvalid, "%v", err)
+		}
+		key = parsed
+	}
+	now := time.Now()
+	return &request{
+		id:         f.GetRequestId(),
+		view:       v,
+		contract:   contract,
+		service:    svc,
+		homeRegion: f.GetHomeRegion(),
+		method:     f.GetMethod(),
+		path:       f.GetPath(),
+		header:     headersFromWire(f.GetHeaders()),
+		body:       f.GetBody(),
+		deadline:   now.Add(time.Duration(f.GetTimeoutMs()) * time.Millisecond),
+		received:   now,
+		key:        key,
+	}, nil
+}
--- /dev/null
+++ b/pkg/entry/once.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/dandelionrack/dandelionrack/pkg/claim"
+	"github.com/dandelionrack/dandelionrack/pkg/trace"
+	"github.com/dandelionrack/dandelionrack/pkg/wire"
+)
+
+// recordGrace is how long after the caller's deadline an entry instance waits
+// for the end of an at-most-once request, so that it can record the outcome.
+const recordGrace = time.Second
+
+// serveOnce runs a request of a service that must run at most once.
+//
+// Invariant: between Begin and the end of the ticket at most one backend
+// server was sent the request, unless it or the dial proved that it did not
+// run.
+func (e *Entry) serveOnce(ctx context.Context, req *request) reply {
+	decision := e.claims.Begin(ctx, req.claimID(), req.key, req.fingerprint())
+	if decision.Verdict == claim.PassTo {
+		return e.passToOwner(ctx, req, decision.PassTo)
+	}
+	if decision.Verdict != claim.Run {
+		return e.claimReply(req, decision)
+	}
+	// The run goes on when the caller hangs up: its outcome must be recorded.
+	runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.deadline.Add(recordGrace))
+	defer cancel()
+	return e.runOnce(runCtx, req, decision.Ticket)
+}
+
+func (e *Entry) runOnce(ctx context.Context, req *request, ticket *claim.Ticket) reply {
+	if err := ticket.Dispatch(time.Now()); err != nil {
+		ticket.NotRun(string(ReasonDeadline))
+		return notRun(ReasonDeadline, "claim could not be used in time: %v", err)
+	}
+	rep := e.steer(ctx, req)
+	switch {
+	case rep.answered():
+		ticket.Done(claim.Result{Status: rep.status, Header: rep.header, Body: rep.body})
+	case rep.isNotRun():
+		ticket.NotRun(string(rep.reason))
+	default:
+		ticket.Unknown(string(rep.reason) + ": " + rep.message)
+	}
+	return rep
+}
+
+// claimReply turns a decision that needs no run into a reply.
+func (e *Entry) claimReply(req *request, d claim.Decision) reply {
+	switch d.Verdict {
+	case claim.Recorded:
+		e.span(req, trace.Span{Kind: "recorded"})
+		return reply{
+			outcome: wire.Outcome_OUTCOME_RECORDED,
+			status:  d.Result.Status,
+			header:  d.Result.Header,
+			body:    d.Result.Body,
+			entry:   e.settings.ID,
+		}
+	case claim.NotRun:
+		rep := notRun(Reason(d.Reason), "%s", d.Detail)
+		if rep.reason == ReasonStoreUnavailable && !req.key.Issued {
+			rep.nextKey = claim.NewIssuedKey(e.self, time.Now())
+		}
+		return rep
+	default:
+		return unknownOutcome(Reason(d.Reason), "%s", d.Detail)
+	}
+}
+
+// passToOwner sends the request to the incarnation that holds its claim.
+func (e *Entry) passToOwner(ctx context.Context, req *request, owner claim.Incarnation) reply {
+	target, ok := req.view.entries[owner.Entry]
+	if !ok {
+		return e.lookupClaim(ctx, req, owner)
+	}
+	rep := e.forward(ctx, req, forwardOptions{entry: target, owner: true})
+	if rep.isNotRun() && rep.reason == reasonPeerUnreachable {
+		return e.lookupClaim(ctx, req, owner)
+	}
+	if rep.outcome == wire.Outcome_OUTCOME_UNKNOWN && rep.reason == ReasonConnectionLost {
+		return e.lookupClaim(ctx, req, owner)
+	}
+	return rep
+}
+
+// lookupClaim answers from the table service when the owner cannot be reached.
+func (e *Entry) lookupClaim(ctx context.Context, req *request, owner claim.Incarnation) reply {
+	d := e.claims.Lookup(ctx, req.claimID(), req.fingerprint())
+	if d.Verdict == claim.Recorded || d.Verdict == claim.NotRun {
+		return e.claimReply(req, d)
+	}
+	return unknownOutcome(ReasonOwnerUnreachable,
+		"entry instance %s holds the claim and cannot be asked; the request may have run", owner.Entry)
+}
+
+// serveOwned handles a request that a peer passed on because this incarnation
+// holds, or may hold, its claim.
+func (e *Entry) serveOwned(ctx context.Context, req *request) reply {
+	decision := e.claims.Begin(ctx, req.claimID(), req.key, req.fingerprint())
+	switch decision.Verdict {
+	case claim.PassTo:
+		// Not passed on again: the peer took this process for its predecessor.
+		return e.lookupClaim(ctx, req, decision.PassTo)
+	case claim.Run:
+		runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.deadline.Add(recordGrace))
+		defer cancel()
+		return e.runOnce(runCtx, req, decision.Ticket)
+	default:
+		return e.claimReply(req, decision)
+	}
+}
--- /dev/null
+++ b/pkg/entry/outcome.go
@@ -0,0 +1,140 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/dandelionrack/dandelionrack/pkg/wire"
+)
+
+// Reason says why a request was not run or why its outcome is unknown.
+type Reason string
+
+// Reasons of refusals, as callers see them.
+const (
+	ReasonOverload         Reason = "overload"
+	ReasonShiftCap         Reason = "shift_cap"
+	ReasonRateLimit        Reason = "rate_limit"
+	ReasonDeadline         Reason = "deadline"
+	ReasonStoreUnavailable Reason = "store_unavailable"
+	ReasonNotReady         Reason = "not_ready"
+	ReasonNoBackendServer  Reason = "no_backend_server"
+	ReasonLinkBudget       Reason = "link_budget"
+	ReasonKeyExpired       Reason = "key_expired"
+	ReasonKeyMissing       Reason = "key_missing"
+	ReasonKeyInvalid       Reason = "key_invalid"
+	ReasonKeyMismatch      Reason = "key_mismatch"
+	ReasonUnauthorized     Reason = "unauthorized"
+	ReasonUnknownService   Reason = "unknown_service"
+	ReasonTooLarge         Reason = "too_large"
+	ReasonBadRequest       Reason = "bad_request"
+
+	// Reasons of unknown outcomes.
+	ReasonConnectionLost   Reason = "connection_lost"
+	ReasonOwnerUnreachable Reason = "owner_unreachable"
+	ReasonInProgress       Reason = "in_progress"
+)
+
+// statusOf maps a reason of a "not run" refusal to an HTTP status. Reasons
+// that are not listed come from the state of the system and give 503.
+var statusOf = map[Reason]int{
+	ReasonRateLimit:      http.StatusTooManyRequests,
+	ReasonKeyExpired:     http.StatusUnprocessableEntity,
+	ReasonKeyMissing:     http.StatusBadRequest,
+	ReasonKeyInvalid:     http.StatusBadRequest,
+	ReasonKeyMismatch:    http.StatusUnprocessableEntity,
+	ReasonUnauthorized:   http.StatusUnauthorized,
+	ReasonUnknownService: http.StatusNotFound,
+	ReasonTooLarge:       http.StatusRequestEntityTooLarge,
+	ReasonBadRequest:     http.StatusBadRequest,
+}
+
+// reply is the end of a request: an answer of a backend server or a typed
+// refusal.
+type reply struct {
+	outcome wire.Outcome
+	reason  Reason
+	message string
+
+	status int
+	header http.Header
+	body   []byte
+
+	server  string // backend server that answered
+	entry   string // entry instance that called it
+	nextKey string // entry-issued key offered in place of a caller-made one
+}
+
+func notRun(reason Reason, format string, args ...any) reply {
+	return reply{outcome: wire.Outcome_OUTCOME_NOT_RUN, reason: reason, message: fmt.Sprintf(format, args...)}
+}
+
+func unknownOutcome(reason Reason, format string, args ...any) reply {
+	return reply{outcome: wire.Outcome_OUTCOME_UNKNOWN, reason: reason, message: fmt.Sprintf(format, args...)}
+}
+
+func (r reply) answered() bool {
+	return r.outcome == wire.Outcome_OUTCOME_ANSWERED || r.outcome == wire.Outcome_OUTCOME_RECORDED
+}
+
+func (r reply) isNotRun() bool {
+	return r.outcome == wire.Outcome_OUTCOME_NOT_RUN
+}
+
+// outcomeName is the value of the Dandelionrack-Outcome header.
+func outcomeName(o wire.Outcome) string {
+	switch o {
+	case wire.Outcome_OUTCOME_ANSWERED:
+		return "answered"
+	case wire.Outcome_OUTCOME_RECORDED:
+		return "recorded"
+	case wire.Outcome_OUTCOME_NOT_RUN:
+		return "not_run"
+	default:
+		return "unknown"
+	}
+}
+
+// Refusal is the JSON body of an answer that does not come from a backend
+// server.
+type Refusal struct {
+	Outcome      string `json:"outcome"`
+	Reason       Reason `json:"reason"`
+	Message      string `json:"message"`
+	RequestID    string `json:"request_id"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+	// NextKey is an entry-issued key that the caller may use in place of its
+	// own key, if every attempt with its own key ended as not run.
+	NextKey string `json:"next_key,omitempty"`
+}
+
+// retryAfter is the pause that callers are asked to keep after a refusal that
+// may not repeat.
+const retryAfter = 100 * time.Millisecond
+
+func (r reply) refusal(requestID string) (int, Refusal) {
+	body := Refusal{
+		Outcome:   outcomeName(r.outcome),
+		Reason:    r.reason,
+		Message:   r.message,
+		RequestID: requestID,
+		NextKey:   r.nextKey,
+	}
+	if !r.isNotRun() {
+		return http.StatusGatewayTimeout, body
+	}
+	status, ok := statusOf[r.reason]
+	if !ok {
+		status = http.StatusServiceUnavailable
+	}
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		body.RetryAfterMS = retryAfter.Milliseconds()
+	}
+	return status, body
+}
+
+func indexPath(name string, i int) string {
+	return name + "[" + strconv.Itoa(i) + "]"
+}
--- /dev/null
+++ b/pkg/entry/request.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/dandelionrack/dandelionrack/pkg/claim"
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+)
+
+// request is one request of a caller, or one that a peer passed on.
+type request struct {
+	id         string
+	view       *view
+	contract   *config.Contract
+	service    *config.Service
+	homeRegion string
+
+	method string
+	path   string // path and query as the backend server gets them
+	header http.Header
+	body   []byte
+
+	deadline time.Time
+	received time.Time
+
+	// key is set for services that are not idempotent.
+	key claim.Key
+}
+
+func (r *request) claimID() claim.ID {
+	return claim.ID{Customer: r.contract.Customer, Service: r.service.Name, Key: r.key.Raw}
+}
+
+func (r *request) fingerprint() claim.Fingerprint {
+	return claim.FingerprintOf(r.method, r.path, r.body)
+}
+
+func (r *request) timeLeft(now time.Time) time.Duration {
+	return r.deadline.Sub(now)
+}
+
+// hopHeaders are headers that belong to one connection or to this system and
+// are not passed on to backend servers.
+var hopHeaders = []string{
+	"Authorization", "Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Host",
+	HeaderRequestTimeout, HeaderRequestID, HeaderIdempotencyKey,
+	HeaderOutcome, HeaderConfigVersion, HeaderEntry, HeaderBackendServer,
+}
+
+// Header names of the caller interface.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderRequestTimeout = "Request-Timeout-Ms"
+	HeaderRequestID      = "Dandelionrack-Request-Id"
+	HeaderOutcome        = "Dandelionrack-Outcome"
+	HeaderConfigVersion  = "Dandelionrack-Config-Version"
+	HeaderEntry          = "Dandelionrack-Entry"
+	HeaderBackendServer  = "Dandelionrack-Backend-Server"
+)
+
+// endToEndHeader copies the headers that are passed on.
+func endToEndHeader(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		out = http.Header{}
+	}
+	for _, name := range h.Values("Connection") {
+		out.Del(name)
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/entry/servers.go
@@ -0,0 +1,271 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/dandelionrack/dandelionrack/pkg/admission"
+	"github.com/dandelionrack/dandelionrack/pkg/backend"
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/platform"
+)
+
+// Reasons for which a backend server counts as leaving.
+const (
+	leavingByDrain    = "drain"
+	leavingByPlatform = "platform"
+	leavingByHealth   = "health"
+	leavingByPeer     = "peer"
+)
+
+// applyServers gives the admission controller this seat's shares of the
+// backend servers that it may admit work to.
+func (e *Entry) applyServers(v *view) {
+	var servers []admission.Server
+	for _, s := range v.doc.Deployment.BackendServers {
+		if !e.mayAdmit(v, s) {
+			continue
+		}
+		share := 0
+		if s.FailureDomain == e.settings.FailureDomain {
+			share = admission.Share(s.Slots, s.ID, v.seats[s.FailureDomain], e.settings.ID)
+			e.backends.Configure(s.ID, s.Addr, e.connectionShare(v, s))
+		}
+		servers = append(servers, admission.Server{
+			ID:         s.ID,
+			Services:   s.Services,
+			Share:      share,
+			MaxTimeout: maxTimeout(v, s),
+		})
+	}
+	e.gate.update(func(ctl *admission.Controller, now time.Time) []admission.Event {
+		ctl.SetServers(now, servers)
+		return ctl.Tick(now)
+	})
+	e.updateLeaving(v)
+}
+
+// mayAdmit reports whether this seat has a share of the server, or could
+// borrow one: it is a possible borrower in its own failure domain, and in the
+// domains of its region that have a single seat.
+func (e *Entry) mayAdmit(v *view, s config.BackendServer) bool {
+	if s.FailureDomain == e.settings.FailureDomain {
+		return true
+	}
+	return v.regions[s.FailureDomain] == e.region && len(v.seats[s.FailureDomain]) == 1
+}
+
+// connectionShare splits the connections of a server over the seats of its
+// failure domain like the slots, but never below one.
+func (e *Entry) connectionShare(v *view, s config.BackendServer) int {
+	seats := max(len(v.seats[s.FailureDomain]), 1)
+	return max(s.MaxConnections/seats, 1)
+}
+
+// maxTimeout is the largest timeout of the services that a server offers.
+func maxTimeout(v *view, s config.BackendServer) time.Duration {
+	var longest time.Duration
+	for _, contract := range v.doc.Contracts {
+		for _, name := range s.Services {
+			if svc, ok := contract.FindService(name); ok {
+				longest = max(longest, svc.Timeout.Std())
+			}
+		}
+	}
+	return longest
+}
+
+// borrowers returns the seats that share the slots of a gone seat: the others
+// of its failure domain or, when it is alone there, those of the other domains
+// of its region.
+func (v *view) borrowers(seat config.EntryInstance) []string {
+	if seats := v.seats[seat.FailureDomain]; len(seats) > 1 {
+		return without(seats, seat.ID)
+	}
+	var out []string
+	for fd, seats := range v.seats {
+		if fd != seat.FailureDomain && v.regions[fd] == v.regions[seat.FailureDomain] {
+			out = append(out, seats...)
+		}
+	}
+	return out
+}
+
+func without(list []string, drop string) []string {
+	out := make([]string, 0, len(list))
+	for _, s := range list {
+		if s != drop {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// updateLending sets what this seat may borrow from seats whose process is
+// provably gone. The right ends with the freshness of the evidence, so the
+// gate also drops it by itself when this process was paused.
+func (e *Entry) updateLending(v *view) {
+	now := time.Now()
+	extra := map[string]int{}
+	for _, seat := range v.doc.Deployment.EntryInstances {
+		if seat.ID == e.settings.ID || !e.provablyGone(now, seat.ID) {
+			continue
+		}
+		borrowers := v.borrowers(seat)
+		for _, s := range v.doc.Deployment.BackendServers {
+			if s.FailureDomain == seat.FailureDomain && e.mayAdmit(v, s) {
+				extra[s.ID] += admission.LentShare(s.Slots, s.ID, v.seats[s.FailureDomain], seat.ID, borrowers, e.settings.ID)
+			}
+		}
+	}
+	e.gate.setLent(now, extra)
+}
+
+func (e *Entry) provablyGone(now time.Time, id string) bool {
+	e.membersMu.Lock()
+	defer e.membersMu.Unlock()
+	return e.members.ProvablyGone(now, id)
+}
+
+// predecessorClean tells a peer that its seat's previous process left after
+// finishing its requests, and that this seat has none in flight on a share
+// borrowed from it.
+func (e *Entry) predecessorClean(peerID string) bool {
+	v := e.currentView()
+	if v == nil {
+		return false
+	}
+	e.membersMu.Lock()
+	clean := e.members.LeftCleanly(peerID)
+	e.membersMu.Unlock()
+	if !clean {
+		return false
+	}
+	domain := v.entries[peerID].FailureDomain
+	borrowed := 0
+	e.gate.read(func(ctl *admission.Controller, now time.Time) {
+		for _, s := range ctl.Snapshot(now) {
+			if v.servers[s.ID].FailureDomain == domain {
+				borrowed += s.LentInUse
+			}
+		}
+	})
+	return borrowed == 0
+}
+
+// clearHoldOff ends the hold-off of this seat when every seat that could have
+// borrowed from it has confirmed that it has nothing in flight.
+func (e *Entry) clearHoldOff(from string) {
+	v := e.currentView()
+	if v == nil {
+		return
+	}
+	e.confirmMu.Lock()
+	defer e.confirmMu.Unlock()
+	if e.holdOffCleared {
+		return
+	}
+	e.confirmed[from] = true
+	borrowers := v.borrowers(v.entries[e.settings.ID])
+	if len(borrowers) == 0 {
+		borrowers = []string{from}
+	}
+	for _, id := range borrowers {
+		if !e.confirmed[id] {
+			return
+		}
+	}
+	e.holdOffCleared = true
+	e.log.Info("predecessor left cleanly; slots are usable at once")
+	e.gate.update(func(ctl *admission.Controller, now time.Time) []admission.Event {
+		ctl.ClearHoldOff(now)
+		return ctl.Tick(now)
+	})
+}
+
+// updateLeaving tells the admission controller which servers get no new work.
+func (e *Entry) updateLeaving(v *view) {
+	e.membersMu.Lock()
+	byPeer := e.members.LeavingServers(time.Now())
+	e.membersMu.Unlock()
+	e.leavingMu.Lock()
+	defer e.leavingMu.Unlock()
+	e.gate.update(func(ctl *admission.Controller, now time.Time) []admission.Event {
+		for id := range v.servers {
+			_, draining := v.doc.Drains[id]
+			_, peerSaysSo := byPeer[id]
+			ctl.SetLeaving(now, id, draining, leavingByDrain)
+			ctl.SetLeaving(now, id, peerSaysSo, leavingByPeer)
+			ctl.SetLeaving(now, id, e.leavingPlatform[id], leavingByPlatform)
+			ctl.SetLeaving(now, id, e.leavingHealth[id], leavingByHealth)
+		}
+		return ctl.Tick(now)
+	})
+}
+
+// ownLeavingServers lists the servers that this instance itself has seen
+// leaving. What peers said is not repeated, or two instances would keep an
+// ended drain alive for each other.
+func (e *Entry) ownLeavingServers() []string {
+	e.leavingMu.Lock()
+	defer e.leavingMu.Unlock()
+	var out []string
+	for id := range e.leavingPlatform {
+		out = append(out, id)
+	}
+	for id := range e.leavingHealth {
+		if !e.leavingPlatform[id] {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func (e *Entry) setPlatformLeaving(list []platform.Instance) {
+	leaving := map[string]bool{}
+	for _, in := range list {
+		if in.Kind == "backend" && in.State == platform.InstanceLeaving {
+			leaving[in.ID] = true
+		}
+	}
+	e.leavingMu.Lock()
+	e.leavingPlatform = leaving
+	e.leavingMu.Unlock()
+	if v := e.currentView(); v != nil {
+		e.updateLeaving(v)
+	}
+}
+
+// handleReport takes a backend server's own report. Reports may mislead, so
+// only "draining" has an effect; slots are counted here.
+func (e *Entry) handleReport(server string, r backend.Report) {
+	if r.State == backend.StateUnknown {
+		return
+	}
+	draining := r.State == backend.StateDraining
+	e.leavingMu.Lock()
+	changed := e.leavingHealth[server] != draining
+	if draining {
+		e.leavingHealth[server] = true
+	} else {
+		delete(e.leavingHealth, server)
+	}
+	e.leavingMu.Unlock()
+	if !changed {
+		return
+	}
+	e.log.Info("backend server report changed", "backend_server", server, "draining", draining)
+	if v := e.currentView(); v != nil {
+		e.updateLeaving(v)
+	}
+}
+
+// pollTargets are the servers of this instance's own failure domain.
+func pollTargets(v *view, failureDomain string) []backend.Target {
+	var out []backend.Target
+	for _, s := range v.doc.Deployment.BackendServers {
+		if s.FailureDomain == failureDomain {
+			out = append(out, backend.Target{Server: s.ID, Addr: s.Addr})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/entry/settings.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"net"
+	"net/url"
+	"time"
+
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/findings"
+)
+
+// Settings are the start-up settings of one entry instance. What operators
+// change while it runs is in the configuration document instead.
+type Settings struct {
+	ID            string `json:"id"`
+	FailureDomain string `json:"failure_domain"`
+	CallerAddr    string `json:"caller_addr"`
+	PeerAddr      string `json:"peer_addr"`
+	OperatorAddr  string `json:"operator_addr"`
+	// PlatformURL is the base URL of the platform's services.
+	PlatformURL string `json:"platform_url"`
+	// Seeds are peer addresses that a new instance asks for the configuration
+	// when the platform cannot be reached.
+	Seeds []string `json:"seeds,omitempty"`
+	// OperatorToken is the bearer token that operators send.
+	OperatorToken string `json:"operator_token"`
+	// LookupTTL is how long callers may cache a lookup answer.
+	LookupTTL config.Duration `json:"lookup_ttl,omitempty"`
+	// NoPredecessor states that no earlier process at these addresses can have
+	// requests in flight, so that slots are usable at once.
+	NoPredecessor bool `json:"no_predecessor,omitempty"`
+	// MaxRequestBytes and MaxResponseBytes bound bodies.
+	MaxRequestBytes  int64 `json:"max_request_bytes,omitempty"`
+	MaxResponseBytes int64 `json:"max_response_bytes,omitempty"`
+	// MaxBufferedBytes bounds the request and response bodies that are held in
+	// memory at one time.
+	MaxBufferedBytes int64 `json:"max_buffered_bytes,omitempty"`
+	// MaxCallerConnections bounds open connections of callers.
+	MaxCallerConnections int `json:"max_caller_connections,omitempty"`
+	// AllowClientAddress lets a lookup name the caller's address in the query,
+	// for callers behind a common address.
+	AllowClientAddress bool      `json:"allow_client_address,omitempty"`
+	LogLevel           string    `json:"log_level,omitempty"`
+	TLS                *TLSFiles `json:"tls,omitempty"`
+}
+
+// TLSFiles names the certificate and key of the operator listener.
+type TLSFiles struct {
+	CertFile string `json:"cert_file"`
+	KeyFile  string `json:"key_file"`
+}
+
+// Defaults of optional settings.
+const (
+	defaultLookupTTL            = 5 * time.Second
+	defaultMaxRequestBytes      = 1 << 20
+	defaultMaxResponseBytes     = 4 << 20
+	defaultMaxBufferedBytes     = 32 << 20
+	defaultMaxCallerConnections = 4096
+)
+
+// SetDefaults fills in the optional settings that are zero.
+func (s *Settings) SetDefaults() {
+	if s.LookupTTL == 0 {
+		s.LookupTTL = config.Duration(defaultLookupTTL)
+	}
+	if s.MaxRequestBytes == 0 {
+		s.MaxRequestBytes = defaultMaxRequestBytes
+	}
+	if s.MaxResponseBytes == 0 {
+		s.MaxResponseBytes = defaultMaxResponseBytes
+	}
+	if s.MaxBufferedBytes == 0 {
+		s.MaxBufferedBytes = defaultMaxBufferedBytes
+	}
+	if s.MaxCallerConnections == 0 {
+		s.MaxCallerConnections = defaultMaxCallerConnections
+	}
+	if s.LogLevel == "" {
+		s.LogLevel = "info"
+	}
+}
+
+// Check adds a finding for every problem of the settings.
+func (s *Settings) Check(l *findings.List) {
+	required(l, "id", s.ID)
+	required(l, "failure_domain", s.FailureDomain)
+	required(l, "operator_token", s.OperatorToken)
+	addrs := map[string]string{}
+	checkAddr(l, addrs, "caller_addr", s.CallerAddr)
+	checkAddr(l, addrs, "peer_addr", s.PeerAddr)
+	checkAddr(l, addrs, "operator_addr", s.OperatorAddr)
+	if u, err := url.Parse(s.PlatformURL); err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		l.Add("platform_url", "must be an http or https URL, got %q", s.PlatformURL)
+	}
+	for i, seed := range s.Seeds {
+		if !validHostPort(seed) {
+			l.Add(indexPath("seeds", i), "must be IP:port, got %q", seed)
+		}
+	}
+	checkSizes(l, s)
+	if s.TLS != nil && (s.TLS.CertFile == "" || s.TLS.KeyFile == "") {
+		l.Add("tls", "needs both cert_file and key_file")
+	}
+}
+
+func checkSizes(l *findings.List, s *Settings) {
+	if s.LookupTTL < 0 {
+		l.Add("lookup_ttl", "must not be negative")
+	}
+	// A peer message holds one body and is at most 6 MiB.
+	const maxBody = 5 << 20
+	for _, size := range []struct {
+		path  string
+		value int64
+	}{
+		{"max_request_bytes", s.MaxRequestBytes},
+		{"max_response_bytes", s.MaxResponseBytes},
+	} {
+		if size.value < 0 || size.value > maxBody {
+			l.Add(size.path, "must be 0 to %d bytes, got %d", maxBody, size.value)
+		}
+	}
+	if s.MaxBufferedBytes < 0 {
+		l.Add("max_buffered_bytes", "must not be negative")
+	}
+	if s.MaxCallerConnections < 0 {
+		l.Add("max_caller_connections", "must not be negative")
+	}
+}
+
+func required(l *findings.List, path, value string) {
+	if value == "" {
+		l.Add(path, "is required")
+	}
+}
+
+func checkAddr(l *findings.List, seen map[string]string, path, addr string) {
+	if !validHostPort(addr) {
+		l.Add(path, "must be IP:port, got %q", addr)
+		return
+	}
+	if other, ok := seen[addr]; ok {
+		l.Add(path, "is the same address as %s", other)
+		return
+	}
+	seen[addr] = path
+}
+
+func validHostPort(addr string) bool {
+	host, port, err := net.SplitHostPort(addr)
+	return err == nil && net.ParseIP(host) != nil && port != ""
+}
--- /dev/null
+++ b/pkg/entry/stop.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/dandelionrack/dandelionrack/pkg/admission"
+	"github.com/dandelionrack/dandelionrack/pkg/wire"
+)
+
+const (
+	// stopFlushTimeout bounds the writing of claims and traces during a stop;
+	// the platform may be down.
+	stopFlushTimeout = 10 * time.Second
+	// stopCallTimeout bounds the calls that announce the end to peers.
+	stopCallTimeout = 2 * time.Second
+)
+
+// stop takes this entry instance out of use without cutting a request.
+//
+// The order matters: first lookups stop naming it, then cached lookup answers
+// run out, then requests finish, then what must last is written, and only then
+// peers learn that nothing is left in flight.
+func (e *Entry) stop() {
+	e.log.Info("stopping: out of lookups", "wait", e.settings.LookupTTL.Std())
+	e.leaving.Store(true)
+	e.announceLeave(false)
+	time.Sleep(e.settings.LookupTTL.Std())
+
+	// No time limit: a planned stop cuts no request. Each request ends by its
+	// own deadline.
+	ctx := context.Background()
+	if err := e.callers.Shutdown(ctx); err != nil {
+		e.log.Error("callers' listener", "error", err)
+	}
+	if err := e.peerServer.Shutdown(ctx); err != nil {
+		e.log.Error("peers' listener", "error", err)
+	}
+	e.inFlight.Wait()
+	e.flush()
+	e.announceLeave(e.nothingHeld())
+	if err := e.operators.Shutdown(ctx); err != nil {
+		e.log.Error("operators' listener", "error", err)
+	}
+	e.log.Info("stopped")
+}
+
+func (e *Entry) flush() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopFlushTimeout)
+	defer cancel()
+	if err := e.claims.Flush(ctx); err != nil {
+		e.log.Error("claims could not be written; their keys will answer as unknown", "error", err)
+	}
+	if err := e.archiver.Flush(ctx); err != nil {
+		e.log.Warn("spans could not be archived", "error", err)
+	}
+}
+
+// nothingHeld reports whether no backend server can still be working on a
+// request of this entry instance.
+func (e *Entry) nothingHeld() bool {
+	used := 0
+	e.gate.read(func(ctl *admission.Controller, now time.Time) {
+		for _, s := range ctl.Snapshot(now) {
+			used += s.InFlight + s.Held
+		}
+	})
+	return used == 0
+}
+
+// announceLeave tells all peers that this instance is leaving, or has left.
+func (e *Entry) announceLeave(clean bool) {
+	v := e.currentView()
+	if v == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopCallTimeout)
+	defer cancel()
+	done := make(chan struct{})
+	calls := 0
+	for _, target := range v.doc.Deployment.EntryInstances {
+		if target.ID == e.settings.ID {
+			continue
+		}
+		calls++
+		go func() {
+			defer func() { done <- struct{}{} }()
+			_, err := e.peers.Call(ctx, target.PeerAddr, &wire.Request{Call: &wire.Request_Leave{
+				Leave: &wire.Leave{Clean: clean},
+			}})
+			if err != nil {
+				e.log.Debug("leave could not be announced", "peer", target.ID, "error", err)
+			}
+		}()
+	}
+	for range calls {
+		<-done
+	}
+}
+
+func (e *Entry) handleLeave(from string, incarnation uint64, l *wire.Leave) *wire.Response {
+	e.membershipUpdate(func() {
+		e.members.HandleLeave(time.Now(), from, incarnation, l.GetClean())
+	})
+	return &wire.Response{}
+}
--- /dev/null
+++ b/pkg/entry/view.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/netip"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/lookup"
+)
+
+// view is what one version of the configuration means to this entry instance.
+// It is immutable, so that a request sees one version from start to end.
+type view struct {
+	doc       *config.Document
+	locator   *lookup.Table
+	customers map[string]string // customer by token digest
+	entries   map[string]config.EntryInstance
+	servers   map[string]config.BackendServer
+	regions   map[string]string   // region by failure domain
+	seats     map[string][]string // entry ids by failure domain
+	byService map[string][]config.BackendServer
+}
+
+func newView(doc *config.Document) (*view, error) {
+	locator, err := lookup.Build(&doc.Deployment)
+	if err != nil {
+		return nil, errors.Wrap(err, "client blocks")
+	}
+	v := &view{
+		doc:       doc,
+		locator:   locator,
+		customers: map[string]string{},
+		entries:   map[string]config.EntryInstance{},
+		servers:   map[string]config.BackendServer{},
+		regions:   map[string]string{},
+		seats:     map[string][]string{},
+		byService: map[string][]config.BackendServer{},
+	}
+	for _, fd := range doc.Deployment.FailureDomains {
+		v.regions[fd.Name] = fd.Region
+	}
+	for _, e := range doc.Deployment.EntryInstances {
+		v.entries[e.ID] = e
+		v.seats[e.FailureDomain] = append(v.seats[e.FailureDomain], e.ID)
+	}
+	for _, s := range doc.Deployment.BackendServers {
+		v.servers[s.ID] = s
+		for _, name := range s.Services {
+			v.byService[name] = append(v.byService[name], s)
+		}
+	}
+	for customer, contract := range doc.Contracts {
+		for _, digest := range contract.TokenSHA256 {
+			v.customers[digest] = customer
+		}
+	}
+	return v, nil
+}
+
+// contractOf returns the contract that a bearer token belongs to. Only digests
+// are compared, so the time taken tells nothing about the token.
+func (v *view) contractOf(token string) (*config.Contract, bool) {
+	sum := sha256.Sum256([]byte(token))
+	customer, ok := v.customers[hex.EncodeToString(sum[:])]
+	if !ok {
+		return nil, false
+	}
+	return v.doc.Contracts[customer], true
+}
+
+// homeRegion is the region of the client block that holds the address, or the
+// given region when no block does.
+func (v *view) homeRegion(addr netip.Addr, fallback string) string {
+	if fd, ok := v.locator.Locate(addr); ok {
+		if region, ok := v.regions[fd]; ok {
+			return region
+		}
+	}
+	return fallback
+}
+
+// regionOfServer returns the region of a backend server.
+func (v *view) regionOfServer(id string) string {
+	return v.regions[v.servers[id].FailureDomain]
+}
+
+// linkBits is the capacity between two regions in bits per second.
+func (v *view) linkBits(a, b string) int64 {
+	for _, l := range v.doc.Deployment.Links {
+		if (l.A == a && l.B == b) || (l.A == b && l.B == a) {
+			return l.BitsPerSecond
+		}
+	}
+	return v.doc.Deployment.DefaultLinkBitsPerSecond
+}
+
+// seatsOfRegion counts the configured entry instances of a region.
+func (v *view) seatsOfRegion(region string) int {
+	n := 0
+	for fd, seats := range v.seats {
+		if v.regions[fd] == region {
+			n += len(seats)
+		}
+	}
+	return n
+}
