Add configuration changes, their store, settings loader and operator API

The entry instance needs these packages: typed operations with object versions, the read-modify-compare-and-set loop over the table service, settings with findings by line, and the operator API with its client.

A change id has a row of its own, written in the same transaction, because a read of the history may lag and can not prove that a change was not accepted.

--- a/pkg/config/types.go
+++ b/pkg/config/types.go
@@ -45,10 +45,13 @@
 	Version    uint64     `json:"version"`
 	Change     Change     `json:"change"`
 	Deployment Deployment `json:"deployment"`
-	// DeploymentVersion counts changes of Deployment alone.
-	DeploymentVersion uint64               `json:"deployment_version"`
-	Contracts         map[string]*Contract `json:"contracts"` // by customer
-	Drains            map[string]*Drain    `json:"drains"`    // by backend server id
+	// DeploymentVersion is the document version that last changed Deployment.
+	// DeploymentChangeID and DeploymentAuthor identify that change.
+	DeploymentVersion  uint64               `json:"deployment_version"`
+	DeploymentChangeID string               `json:"deployment_change_id,omitempty"`
+	DeploymentAuthor   string               `json:"deployment_author,omitempty"`
+	Contracts          map[string]*Contract `json:"contracts"` // by customer
+	Drains             map[string]*Drain    `json:"drains"`    // by backend server id
 }
 
 // Change says who made a version of the document and why.
@@ -60,6 +63,9 @@
 	At     time.Time `json:"at"`
 	// Summary is one line such as "apply contract kallitexnis".
 	Summary string `json:"summary,omitempty"`
+	// Object names what the change was made to, such as "drain/salio-1".
+	// Apply sets it.
+	Object string `json:"object,omitempty"`
 }
 
 // Deployment is the topology: where entry instances and backend servers are.
@@ -123,8 +129,9 @@
 // Contract is the single contract of one customer.
 type Contract struct {
 	Customer string `json:"customer"`
-	// Version counts changes of this contract. A change names the version it
-	// was based on.
+	// Version is the document version that last changed this contract, so a
+	// contract that is removed and created again never repeats a version. A
+	// change names the version it was based on.
 	Version uint64 `json:"version"`
 	// ChangeID and Author identify the change that made this version.
 	ChangeID string `json:"change_id,omitempty"`
--- /dev/null
+++ b/pkg/configstore/store.go
@@ -0,0 +1,106 @@
+// Package configstore keeps the configuration document in the platform's
+// table service.
+//
+// Rows: config/current holds the newest document, config/v/<n> each accepted
+// version, and config/change/<id> the version that a change id was accepted
+// as. All three are written in one transaction.
+package configstore
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/platform"
+)
+
+const (
+	currentKey    = "config/current"
+	versionPrefix = "config/v/"
+	changePrefix  = "config/change/"
+
+	// HistoryRetention is the TTL of the rows of the history. It bounds their
+	// number; a change id can be submitted again this long without a second
+	// effect.
+	HistoryRetention = 14 * 24 * time.Hour
+)
+
+// Store reads and writes the document. It is safe for concurrent use.
+type Store struct {
+	table platform.Table
+	newID func() string
+}
+
+// New returns a store on a table service. newID makes a change id for changes
+// that have none.
+func New(table platform.Table, newID func() string) *Store {
+	return &Store{table: table, newID: newID}
+}
+
+// Load reads the current document, or returns platform.ErrNotFound. The
+// document may be older than the newest one when the table service lags.
+func (s *Store) Load(ctx context.Context) (*config.Document, error) {
+	row, err := s.table.Get(ctx, currentKey)
+	if err != nil {
+		return nil, errors.Wrap(err, "load configuration")
+	}
+	return config.Decode(row.Value)
+}
+
+// History returns the newest accepted changes, newest first.
+func (s *Store) History(ctx context.Context, limit int) ([]config.HistoryEntry, error) {
+	doc, err := s.Load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if limit <= 0 {
+		return nil, nil
+	}
+	after := ""
+	if doc.Version > uint64(limit) {
+		after = versionKey(doc.Version - uint64(limit))
+	}
+	// A change that was accepted after Load may add rows, so the list may be
+	// longer than the range that was read.
+	rows, err := s.table.List(ctx, versionPrefix, after, limit+1)
+	if err != nil {
+		return nil, errors.Wrap(err, "read history")
+	}
+	entries := make([]config.HistoryEntry, 0, len(rows))
+	for i := len(rows) - 1; i >= 0 && len(entries) < limit; i-- {
+		var e config.HistoryEntry
+		if err := json.Unmarshal(rows[i].Value, &e); err != nil {
+			return nil, errors.Wrapf(err, "read history row %s", rows[i].Key)
+		}
+		entries = append(entries, e)
+	}
+	return entries, nil
+}
+
+// BootstrapDeployment writes version 1 into an empty store. A store that has a
+// document already keeps it, and that document is returned.
+func (s *Store) BootstrapDeployment(ctx context.Context, ch config.Change, d config.Deployment) (*config.Document, error) {
+	doc, err := s.Submit(ctx, ch, config.ApplyDeployment{Deployment: d})
+	var conflict *config.ConflictError
+	if errors.As(err, &conflict) {
+		return s.Load(ctx)
+	}
+	return doc, err
+}
+
+// versionKey pads the number to the width of the largest uint64, so that key
+// order is version order.
+func versionKey(version uint64) string {
+	return fmt.Sprintf("%s%020d", versionPrefix, version)
+}
+
+func changeKey(id string) string { return changePrefix + id }
+
+// acceptedRow is the value of config/change/<id>.
+type acceptedRow struct {
+	Version uint64 `json:"version"`
+}
--- /dev/null
+++ b/pkg/operator/client.go
@@ -0,0 +1,207 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+)
+
+const (
+	defaultTimeout = 10 * time.Second
+	dialTimeout    = 2 * time.Second
+	// maxReplyBytes bounds a reply; the largest is the document.
+	maxReplyBytes = 64 << 20
+)
+
+var (
+	// ErrNotSent means that no request reached the entry instance, so another
+	// one can be asked.
+	ErrNotSent = errors.New("operator API: the entry instance refused the connection")
+	// ErrNoReply means that the request may have been handled, but no complete
+	// reply came back. A change must be submitted again with the same id.
+	ErrNoReply = errors.New("operator API: no complete reply")
+)
+
+// ClientConfig says how to reach the operator API of one entry instance.
+type ClientConfig struct {
+	BaseURL string // such as http://127.1.0.1:7003
+	Token   string
+	Timeout time.Duration // of one call; 0 means 10 s
+	CAFile  string        // PEM file with the certificate authority; empty: the system's
+}
+
+// Client calls the operator API of one entry instance.
+type Client struct {
+	base    string
+	token   string
+	service httpc.Service
+}
+
+// NewClient returns a client. It makes no connection yet.
+func NewClient(c ClientConfig) (*Client, error) {
+	u, err := url.Parse(c.BaseURL)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return nil, errors.Errorf("operator API address %q must be like http://127.0.0.1:7003", c.BaseURL)
+	}
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	if c.CAFile != "" {
+		pool, err := loadCA(c.CAFile)
+		if err != nil {
+			return nil, err
+		}
+		transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	}
+	timeout := c.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	base := strings.TrimSuffix(c.BaseURL, "/")
+	client := &http.Client{Transport: transport, Timeout: timeout}
+	// The circuit breaker of httpc works by name, so each address has its own.
+	return &Client{base: base, token: c.Token, service: httpc.NewServiceWithClient("operator "+base, client)}, nil
+}
+
+func loadCA(file string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read CA file")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Errorf("CA file %s holds no certificate", file)
+	}
+	return pool, nil
+}
+
+// BaseURL returns the address of the entry instance.
+func (c *Client) BaseURL() string { return c.base }
+
+// SubmitChange makes a change and returns the document of its version. The
+// change must have an id.
+func (c *Client) SubmitChange(ctx context.Context, ch config.Change, op config.Operation) (*config.Document, error) {
+	body := ChangeRequest{Change: ch, Operation: config.WrapOperation(op)}
+	return call[*config.Document](ctx, c, http.MethodPost, "/v1/changes", body)
+}
+
+// Document returns the current document of the entry instance.
+func (c *Client) Document(ctx context.Context) (*config.Document, error) {
+	return get[*config.Document](ctx, c, "/v1/document")
+}
+
+// History returns the newest n changes, newest first.
+func (c *Client) History(ctx context.Context, n int) ([]config.HistoryEntry, error) {
+	return get[[]config.HistoryEntry](ctx, c, "/v1/history?limit="+strconv.Itoa(n))
+}
+
+// DrainStatus returns the progress of the drain of a backend server.
+func (c *Client) DrainStatus(ctx context.Context, server string) (DrainStatus, error) {
+	return get[DrainStatus](ctx, c, "/v1/drains/"+url.PathEscape(server))
+}
+
+// Trace returns what is known of a request.
+func (c *Client) Trace(ctx context.Context, requestID string) (TraceReport, error) {
+	return get[TraceReport](ctx, c, "/v1/traces/"+url.PathEscape(requestID))
+}
+
+// Burn returns the use of the error budgets.
+func (c *Client) Burn(ctx context.Context) (BurnReport, error) {
+	return get[BurnReport](ctx, c, "/v1/burn")
+}
+
+// Routes returns where requests can go.
+func (c *Client) Routes(ctx context.Context) (RoutesReport, error) {
+	return get[RoutesReport](ctx, c, "/v1/routes")
+}
+
+// Unresolved returns the claims whose outcome is not known.
+func (c *Client) Unresolved(ctx context.Context) ([]UnresolvedClaim, error) {
+	return get[[]UnresolvedClaim](ctx, c, "/v1/unresolved")
+}
+
+// Status returns the state of the entry instance.
+func (c *Client) Status(ctx context.Context) (EntryStatus, error) {
+	return get[EntryStatus](ctx, c, "/v1/status")
+}
+
+func get[T any](ctx context.Context, c *Client, path string) (T, error) {
+	return call[T](ctx, c, http.MethodGet, path, nil)
+}
+
+func call[T any](ctx context.Context, c *Client, method, path string, body any) (T, error) {
+	var out T
+	data, status, err := c.exchange(ctx, method, path, body)
+	if err != nil {
+		return out, err
+	}
+	if status != http.StatusOK {
+		return out, decodeError(status, data)
+	}
+	if err := json.Unmarshal(data, &out); err != nil {
+		return out, errors.Wrapf(ErrNoReply, "%s (%v)", c.base, err)
+	}
+	return out, nil
+}
+
+// exchange sends one request and reads the whole reply.
+func (c *Client) exchange(ctx context.Context, method, path string, body any) ([]byte, int, error) {
+	var payload io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return nil, 0, errors.Wrap(err, "encode request")
+		}
+		payload = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, payload)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "make request")
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.service.DoRequest(req)
+	if err != nil {
+		return nil, 0, c.transportError(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return nil, 0, errors.Wrapf(ErrNoReply, "%s (%v)", c.base, err)
+	}
+	return data, resp.StatusCode, nil
+}
+
+// transportError tells a request that was certainly not sent from one that
+// may have been handled.
+func (c *Client) transportError(err error) error {
+	kind := ErrNoReply
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, breaker.ErrServiceUnavailable) {
+		kind = ErrNotSent
+	}
+	return errors.Wrapf(kind, "%s (%v)", c.base, err)
+}
+
+func decodeError(status int, data []byte) error {
+	out := &Error{}
+	if err := json.Unmarshal(data, out); err != nil || out.Code == "" {
+		out = &Error{Code: CodeInternal, Message: "HTTP status " + strconv.Itoa(status)}
+	}
+	out.Status = status
+	return out
+}
--- /dev/null
+++ b/pkg/operator/routes.go
@@ -0,0 +1,147 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/httpx"
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+)
+
+const (
+	// MaxChangeBytes bounds the body of a change; the largest is a deployment
+	// with its client blocks.
+	MaxChangeBytes = 8 << 20
+
+	defaultHistory = 20
+	maxHistory     = 1000
+)
+
+// Routes returns the handlers of the operator API. Every request must carry
+// the token as a bearer token. An empty token refuses every request.
+func Routes(b Backend, token string) []rest.Route {
+	h := &handlers{backend: b, token: sha256.Sum256([]byte(token)), closed: token == ""}
+	return []rest.Route{
+		h.route(http.MethodPost, "/v1/changes", h.submitChange),
+		h.route(http.MethodGet, "/v1/document", h.document),
+		h.route(http.MethodGet, "/v1/history", h.history),
+		h.route(http.MethodGet, "/v1/drains/:id", byID(b.DrainStatus)),
+		h.route(http.MethodGet, "/v1/traces/:id", byID(b.Trace)),
+		h.route(http.MethodGet, "/v1/burn", plain(b.Burn)),
+		h.route(http.MethodGet, "/v1/routes", plain(b.Routes)),
+		h.route(http.MethodGet, "/v1/unresolved", plain(b.Unresolved)),
+		h.route(http.MethodGet, "/v1/status", plain(b.Status)),
+	}
+}
+
+type handlers struct {
+	backend Backend
+	token   [sha256.Size]byte
+	closed  bool
+}
+
+// handlerFunc returns the body of a success.
+type handlerFunc func(r *http.Request) (any, error)
+
+func (h *handlers) route(method, path string, f handlerFunc) rest.Route {
+	return rest.Route{Method: method, Path: path, Handler: h.wrap(f)}
+}
+
+func (h *handlers) wrap(f handlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !h.authorized(r) {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			writeError(w, &Error{Message: "a valid bearer token is needed", Code: CodeUnauthorized, Status: http.StatusUnauthorized})
+			return
+		}
+		body, err := f(r)
+		if err != nil {
+			writeError(w, toError(err))
+			return
+		}
+		httpx.WriteJson(w, http.StatusOK, body)
+	}
+}
+
+// authorized compares digests, so that the time taken tells neither the
+// content nor the length of the token.
+func (h *handlers) authorized(r *http.Request) bool {
+	given, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	digest := sha256.Sum256([]byte(given))
+	equal := subtle.ConstantTimeCompare(digest[:], h.token[:]) == 1
+	return ok && equal && !h.closed
+}
+
+func writeError(w http.ResponseWriter, e *Error) {
+	httpx.WriteJson(w, e.Status, e)
+}
+
+func (h *handlers) submitChange(r *http.Request) (any, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, MaxChangeBytes))
+	if err != nil {
+		return nil, badRequest("read the change: " + err.Error())
+	}
+	var req ChangeRequest
+	if err := json.Unmarshal(data, &req); err != nil {
+		return nil, badRequest("decode the change: " + err.Error())
+	}
+	// The id must come from the client: without it, asking again after a lost
+	// reply would make the change twice.
+	if !config.ValidChangeID(req.Change.ID) {
+		return nil, badRequest("the change needs a valid id")
+	}
+	op, err := req.Operation.Unwrap()
+	if err != nil {
+		return nil, err
+	}
+	return h.backend.SubmitChange(r.Context(), req.Change, op)
+}
+
+func (h *handlers) document(*http.Request) (any, error) {
+	doc := h.backend.Document()
+	if doc == nil {
+		return nil, &Error{
+			Message: "this entry instance has no configuration yet",
+			Code:    CodeUnavailable,
+			Status:  http.StatusServiceUnavailable,
+		}
+	}
+	return doc, nil
+}
+
+func (h *handlers) history(r *http.Request) (any, error) {
+	n := defaultHistory
+	if text := r.URL.Query().Get("limit"); text != "" {
+		var err error
+		n, err = strconv.Atoi(text)
+		if err != nil || n < 1 || n > maxHistory {
+			return nil, badRequest("limit must be from 1 to " + strconv.Itoa(maxHistory))
+		}
+	}
+	return h.backend.History(r.Context(), n)
+}
+
+func byID[T any](f func(context.Context, string) (T, error)) handlerFunc {
+	return func(r *http.Request) (any, error) {
+		return f(r.Context(), pathvar.Vars(r)["id"])
+	}
+}
+
+func plain[T any](f func(context.Context) (T, error)) handlerFunc {
+	return func(r *http.Request) (any, error) {
+		return f(r.Context())
+	}
+}
+
+func badRequest(message string) error {
+	return &Error{Message: message, Code: CodeInvalid, Status: http.StatusBadRequest}
+}
--- /dev/null
+++ b/pkg/operator/types.go
@@ -0,0 +1,176 @@
+// Package operator defines the operator API of an entry instance: its types,
+// its HTTP handlers and its client.
+package operator
+
+import (
+	"context"
+	"time"
+
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+)
+
+// Backend is what an entry instance does behind the operator API.
+//
+// Errors that the API tells apart: *config.ConflictError,
+// *config.NotFoundError, *findings.Error, platform.ErrUnavailable and
+// platform.ErrUnknownOutcome. Any other error is an internal one.
+type Backend interface {
+	// SubmitChange makes a change, and returns the document of its version.
+	SubmitChange(ctx context.Context, ch config.Change, op config.Operation) (*config.Document, error)
+	// Document returns the current document, or nil when none is known.
+	Document() *config.Document
+	// History returns the newest n changes, newest first.
+	History(ctx context.Context, n int) ([]config.HistoryEntry, error)
+	DrainStatus(ctx context.Context, server string) (DrainStatus, error)
+	Trace(ctx context.Context, requestID string) (TraceReport, error)
+	Burn(ctx context.Context) (BurnReport, error)
+	Routes(ctx context.Context) (RoutesReport, error)
+	Unresolved(ctx context.Context) ([]UnresolvedClaim, error)
+	Status(ctx context.Context) (EntryStatus, error)
+}
+
+// ChangeRequest is the body of POST /v1/changes.
+type ChangeRequest struct {
+	Change    config.Change        `json:"change"`
+	Operation config.OperationJSON `json:"operation"`
+}
+
+// TraceReport holds what is known of one request.
+type TraceReport struct {
+	RequestID string `json:"request_id"`
+	Spans     []Span `json:"spans"`
+	// Incomplete names the sources that could not be asked.
+	Incomplete []string `json:"incomplete,omitempty"`
+}
+
+// Span is one step of a request.
+type Span struct {
+	At              time.Time `json:"at"`
+	Entry           string    `json:"entry"`
+	FailureDomain   string    `json:"failure_domain"`
+	Kind            string    `json:"kind"`
+	Attempt         int       `json:"attempt"`
+	Customer        string    `json:"customer,omitempty"`
+	Service         string    `json:"service,omitempty"`
+	ContractVersion uint64    `json:"contract_version,omitempty"`
+	ConfigVersion   uint64    `json:"config_version,omitempty"`
+	BackendServer   string    `json:"backend_server,omitempty"`
+	Peer            string    `json:"peer,omitempty"`
+	Reason          string    `json:"reason,omitempty"`
+	Outcome         string    `json:"outcome,omitempty"`
+	DurationUS      int64     `json:"duration_us"`
+}
+
+// BurnReport is the use of the error budget of all services.
+type BurnReport struct {
+	Services []ServiceBurn `json:"services"`
+	// Unreachable names the entry instances whose counts are missing.
+	Unreachable []string `json:"unreachable,omitempty"`
+}
+
+// ServiceBurn is the use of the error budget of one service.
+type ServiceBurn struct {
+	Customer  string           `json:"customer"`
+	Service   string           `json:"service"`
+	Objective config.Objective `json:"objective"`
+	Windows   []WindowBurn     `json:"windows"`
+}
+
+// WindowBurn counts the answers of one window. Burn 1 uses the error budget
+// exactly.
+type WindowBurn struct {
+	Window config.Duration `json:"window"`
+	Total  float64         `json:"total"`
+	Bad    float64         `json:"bad"`
+	Burn   float64         `json:"burn"`
+}
+
+// DrainStatus is the progress of a drain.
+type DrainStatus struct {
+	Server   string `json:"server"`
+	Draining bool   `json:"draining"`
+	// Since is the time from which the server is leaving.
+	Since time.Time `json:"since,omitzero"`
+	// InFlight is the number of requests in flight by entry instance.
+	InFlight  map[string]int `json:"in_flight"`
+	IdleSince time.Time      `json:"idle_since,omitzero"`
+	// Unreachable names the entry instances whose counts are missing.
+	Unreachable []string `json:"unreachable,omitempty"`
+}
+
+// Idle reports whether every entry instance answered and none has a request
+// in flight.
+func (s DrainStatus) Idle() bool {
+	if len(s.Unreachable) > 0 {
+		return false
+	}
+	for _, n := range s.InFlight {
+		if n > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// RoutesReport shows where requests can go, as one entry instance sees it.
+type RoutesReport struct {
+	Entry         string        `json:"entry"`
+	ConfigVersion uint64        `json:"config_version"`
+	Entries       []EntryRoute  `json:"entries"`
+	Servers       []ServerRoute `json:"servers"`
+}
+
+// EntryRoute is the state of an entry instance.
+type EntryRoute struct {
+	ID            string `json:"id"`
+	FailureDomain string `json:"failure_domain"`
+	Region        string `json:"region"`
+	State         string `json:"state"`
+	// FreeSlots is the number of free slots by service.
+	FreeSlots map[string]int `json:"free_slots,omitempty"`
+}
+
+// ServerRoute is the state of a backend server.
+type ServerRoute struct {
+	ID            string   `json:"id"`
+	FailureDomain string   `json:"failure_domain"`
+	Services      []string `json:"services"`
+	State         string   `json:"state"`
+	Slots         int      `json:"slots"`
+	// Share is the part of Slots that the reporting entry instance may use.
+	Share     int `json:"share"`
+	FreeSlots int `json:"free_slots"`
+}
+
+// UnresolvedClaim is an at-most-once request whose outcome is not known.
+type UnresolvedClaim struct {
+	Customer    string    `json:"customer"`
+	Service     string    `json:"service"`
+	Key         string    `json:"key"`
+	Entry       string    `json:"entry"`
+	Incarnation string    `json:"incarnation"`
+	ClaimedAt   time.Time `json:"claimed_at"`
+	State       string    `json:"state"`
+	Detail      string    `json:"detail,omitempty"`
+}
+
+// EntryStatus is the state of the entry instance that answers.
+type EntryStatus struct {
+	Entry         string         `json:"entry"`
+	FailureDomain string         `json:"failure_domain"`
+	Region        string         `json:"region"`
+	Incarnation   string         `json:"incarnation"`
+	State         string         `json:"state"`
+	ConfigVersion uint64         `json:"config_version"`
+	StartedAt     time.Time      `json:"started_at"`
+	StoreOK       bool           `json:"store_ok"`
+	Peers         []PeerStatus   `json:"peers"`
+	FreeSlots     map[string]int `json:"free_slots,omitempty"`
+}
+
+// PeerStatus is another entry instance as the answering one sees it.
+type PeerStatus struct {
+	ID            string `json:"id"`
+	State         string `json:"state"`
+	ConfigVersion uint64 `json:"config_version"`
+}
--- /dev/null
+++ b/pkg/settings/walk.go
@@ -0,0 +1,270 @@
+package settings
+
+import (
+	"encoding"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"sort"
+	"strings"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/dandelionrack/dandelionrack/pkg/findings"
+)
+
+// walker sets the fields of a value from a syntax tree. It goes on after a
+// problem, so that one run finds all.
+type walker struct {
+	file     string
+	newlines []int // offsets
+	lines    map[string]int
+	bad      map[string]bool // paths that could not be set
+	list     findings.List
+}
+
+func newWalker(file string, data []byte) *walker {
+	w := &walker{file: file, lines: map[string]int{}, bad: map[string]bool{}}
+	for i, b := range data {
+		if b == '\n' {
+			w.newlines = append(w.newlines, i)
+		}
+	}
+	return w
+}
+
+func (w *walker) line(offset int) int {
+	return sort.SearchInts(w.newlines, offset) + 1
+}
+
+func (w *walker) add(v *hujson.Value, path, format string, args ...any) {
+	w.bad[path] = true
+	w.list.AddFinding(findings.Finding{
+		File:    w.file,
+		Line:    w.line(v.StartOffset),
+		Path:    path,
+		Message: fmt.Sprintf(format, args...),
+	})
+}
+
+func (w *walker) value(v *hujson.Value, dst reflect.Value, path string) {
+	if _, ok := w.lines[path]; !ok {
+		w.lines[path] = w.line(v.StartOffset)
+	}
+	if hasDecoder(dst) {
+		w.decode(v, dst, path)
+		return
+	}
+	if dst.Kind() == reflect.Pointer {
+		w.pointer(v, dst, path)
+		return
+	}
+	switch t := v.Value.(type) {
+	case *hujson.Object:
+		w.object(v, t, dst, path)
+	case *hujson.Array:
+		w.array(v, t, dst, path)
+	default:
+		w.decode(v, dst, path)
+	}
+}
+
+// hasDecoder reports whether the type decodes itself.
+func hasDecoder(dst reflect.Value) bool {
+	if dst.Kind() == reflect.Interface {
+		return true
+	}
+	switch dst.Addr().Interface().(type) {
+	case json.Unmarshaler, encoding.TextUnmarshaler:
+		return true
+	}
+	return false
+}
+
+func (w *walker) pointer(v *hujson.Value, dst reflect.Value, path string) {
+	if v.Value.Kind() == 'n' {
+		dst.SetZero()
+		return
+	}
+	// A new target, because the old one may be shared with the defaults.
+	target := reflect.New(dst.Type().Elem())
+	if !dst.IsNil() {
+		target.Elem().Set(dst.Elem())
+	}
+	w.value(v, target.Elem(), path)
+	dst.Set(target)
+}
+
+func (w *walker) object(v *hujson.Value, obj *hujson.Object, dst reflect.Value, path string) {
+	switch dst.Kind() {
+	case reflect.Struct:
+		w.structure(obj, dst, path)
+	case reflect.Map:
+		w.mapping(v, obj, dst, path)
+	default:
+		w.add(v, path, "must be %s, not an object", kindName(dst.Type()))
+	}
+}
+
+func (w *walker) structure(obj *hujson.Object, dst reflect.Value, path string) {
+	fields := map[string][]int{}
+	for _, f := range reflect.VisibleFields(dst.Type()) {
+		if name, ok := fieldName(f); ok && reachable(dst, f.Index) {
+			fields[name] = f.Index
+		}
+	}
+	used := map[string]bool{}
+	for i := range obj.Members {
+		m := &obj.Members[i]
+		name := memberName(m)
+		at := join(path, name)
+		index, known := fields[name]
+		switch {
+		case used[name]:
+			w.add(&m.Name, at, "is given twice")
+		case !known:
+			w.add(&m.Name, at, "unknown key%s", suggestion(name, fields))
+		default:
+			used[name] = true
+			w.value(&m.Value, dst.FieldByIndex(index), at)
+		}
+	}
+}
+
+// reachable is false for a field behind an embedded nil pointer.
+func reachable(dst reflect.Value, index []int) bool {
+	_, err := dst.FieldByIndexErr(index)
+	return err == nil
+}
+
+// fieldName returns the key of a struct field, or false for a field that
+// JSON does not set.
+func fieldName(f reflect.StructField) (string, bool) {
+	tag, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+	embedded := f.Anonymous && tag == "" && f.Type.Kind() == reflect.Struct
+	if tag == "-" || !f.IsExported() || embedded {
+		return "", false
+	}
+	if tag == "" {
+		return f.Name, true
+	}
+	return tag, true
+}
+
+// suggestion names a known key that differs in case, dashes or underscores
+// only.
+func suggestion(name string, fields map[string][]int) string {
+	for known := range fields {
+		if plainName(known) == plainName(name) {
+			return fmt.Sprintf("; did you mean %q?", known)
+		}
+	}
+	return ""
+}
+
+func plainName(s string) string {
+	return strings.ToLower(strings.NewReplacer("_", "", "-", "").Replace(s))
+}
+
+func (w *walker) mapping(v *hujson.Value, obj *hujson.Object, dst reflect.Value, path string) {
+	if dst.Type().Key().Kind() != reflect.String {
+		w.add(v, path, "has a type that settings do not support: %s", dst.Type())
+		return
+	}
+	out := reflect.MakeMap(dst.Type())
+	for i := range obj.Members {
+		m := &obj.Members[i]
+		name := memberName(m)
+		at := path + "[" + name + "]"
+		key := reflect.ValueOf(name).Convert(dst.Type().Key())
+		if out.MapIndex(key).IsValid() {
+			w.add(&m.Name, at, "is given twice")
+			continue
+		}
+		item := reflect.New(dst.Type().Elem()).Elem()
+		w.value(&m.Value, item, at)
+		out.SetMapIndex(key, item)
+	}
+	dst.Set(out)
+}
+
+func (w *walker) array(v *hujson.Value, arr *hujson.Array, dst reflect.Value, path string) {
+	if dst.Kind() != reflect.Slice {
+		w.add(v, path, "must be %s, not an array", kindName(dst.Type()))
+		return
+	}
+	out := reflect.MakeSlice(dst.Type(), len(arr.Elements), len(arr.Elements))
+	for i := range arr.Elements {
+		w.value(&arr.Elements[i], out.Index(i), fmt.Sprintf("%s[%d]", path, i))
+	}
+	dst.Set(out)
+}
+
+// decode sets a value by encoding/json: literals, and types that decode
+// themselves.
+func (w *walker) decode(v *hujson.Value, dst reflect.Value, path string) {
+	if v.Value.Kind() == 'n' && dst.Kind() != reflect.Interface {
+		w.add(v, path, "must be %s, not null", kindName(dst.Type()))
+		return
+	}
+	plain := v.Clone()
+	plain.Standardize()
+	err := json.Unmarshal(plain.Pack(), dst.Addr().Interface())
+	if err == nil {
+		return
+	}
+	if _, ok := err.(*json.UnmarshalTypeError); ok {
+		w.add(v, path, "must be %s, not %s", kindName(dst.Type()), abbreviate(plain.String()))
+		return
+	}
+	w.add(v, path, "%s: %v", abbreviate(plain.String()), err)
+}
+
+func memberName(m *hujson.ObjectMember) string {
+	lit, ok := m.Name.Value.(hujson.Literal)
+	if !ok {
+		return ""
+	}
+	return lit.String()
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// kindName says what a file must hold for a type.
+func kindName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float32, reflect.Float64:
+		return "a number"
+	case reflect.Struct, reflect.Map:
+		return "an object"
+	case reflect.Slice, reflect.Array:
+		return "an array"
+	case reflect.Pointer:
+		return kindName(t.Elem())
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
+		return fmt.Sprintf("a whole number (%d bits)", t.Bits())
+	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		return fmt.Sprintf("a whole number of 0 or more (%d bits)", t.Bits())
+	default:
+		return "a " + t.Kind().String()
+	}
+}
+
+// abbreviate keeps a message short when the value is long.
+func abbreviate(s string) string {
+	const limit = 40
+	s = strings.TrimSpace(s)
+	if len(s) > limit {
+		return s[:limit] + "..."
+	}
+	return s
+}
