claim: at-most-once execution by idempotency key

A request that is not idempotent needs a record of its key before it is dispatched. The package holds the state machine of a key, the group commit of claims and results, and the memory of entry-issued keys.

A lost reply is resolved by sending the conditional writes again. Reading the rows was ruled out: an absent row does not prove that the delayed write will not land, and a group needs one read per key.

--- /dev/null
+++ b/pkg/claim/committer.go
@@ -0,0 +1,308 @@
+package claim
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionrack/dandelionrack/pkg/platform"
+)
+
+const (
+	// maxGroupBytes bounds a transaction so that it fits a slow link.
+	maxGroupBytes = 1 << 20
+	// attemptFailures is the number of failed transactions after which an
+	// attempt gives up; during an outage one is enough.
+	attemptFailures = 3
+	// outageGroup bounds the rows sent again and again during an outage.
+	outageGroup = 16
+	maxBackoff  = time.Second
+)
+
+// Run writes claims and results until ctx ends. Attempts that still wait for
+// their claim then end not run.
+func (m *Manager) Run(ctx context.Context) error {
+	defer m.close()
+	var lastStart time.Time
+	for {
+		if err := m.waitForWork(ctx, lastStart); err != nil {
+			return err
+		}
+		lastStart = m.cfg.Now()
+		m.commitGroup(ctx)
+	}
+}
+
+// waitForWork returns when there is something to write and the minimum
+// interval since the last transaction has passed.
+func (m *Manager) waitForWork(ctx context.Context, lastStart time.Time) error {
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
+	for !m.hasWork() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-m.wake:
+		case <-sweep.C:
+			m.sweepNow()
+		}
+	}
+	m.sweepNow()
+	pause := m.interval() - m.cfg.Now().Sub(lastStart)
+	if pause <= 0 {
+		return ctx.Err()
+	}
+	return sleep(ctx, pause)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+func (m *Manager) hasWork() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.urgent)+len(m.background)+len(m.retry) > 0
+}
+
+func (m *Manager) sweepNow() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sweep(m.cfg.Now())
+}
+
+// interval is the time between the starts of two transactions. Every
+// configured entry keeps to its part of the budget, so a partition cannot
+// raise the sum. Failures double it up to maxBackoff.
+func (m *Manager) interval() time.Duration {
+	entries := max(1, m.cfg.Entries())
+	d := time.Duration(float64(entries) / m.cfg.WriteBudget * float64(time.Second))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for range min(m.outage, 16) {
+		if d >= maxBackoff {
+			break
+		}
+		d = min(2*d, maxBackoff)
+	}
+	return d
+}
+
+// group is the content of one transaction.
+type group struct {
+	recs []*record
+	tx   platform.Tx
+	size int
+}
+
+func (m *Manager) commitGroup(ctx context.Context) {
+	g := m.collect(m.cfg.Now())
+	if len(g.recs) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, m.cfg.CommitTimeout)
+	defer cancel()
+	m.settle(g, m.cfg.Table.Commit(ctx, g.tx))
+}
+
+// collect takes the next group. Keys whose group failed through a conflict of
+// other keys go alone: mixed with new keys, a steady stream of conflicts would
+// hold them up without end. Then come claims that callers wait for, which
+// leave a quarter of the group to the results.
+func (m *Manager) collect(now time.Time) *group {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	limit := m.cfg.MaxGroup
+	if m.outage > 0 {
+		limit = min(limit, outageGroup)
+	}
+	g := &group{}
+	if len(m.retry) > 0 {
+		m.fill(g, &m.retry, limit, now)
+		return g
+	}
+	m.fill(g, &m.urgent, limit-limit/4, now)
+	m.fill(g, &m.background, limit, now)
+	m.fill(g, &m.urgent, limit, now)
+	return g
+}
+
+func (m *Manager) fill(g *group, queue *[]*record, limit int, now time.Time) {
+	for len(*queue) > 0 && len(g.recs) < limit && g.size < maxGroupBytes {
+		rec := (*queue)[0]
+		(*queue)[0] = nil
+		*queue = (*queue)[1:]
+		rec.queued = false
+		m.add(g, rec, now)
+	}
+}
+
+func (m *Manager) add(g *group, rec *record, now time.Time) {
+	r := rec.machine.take(now)
+	if r == nil {
+		return // nothing left to write since it was queued
+	}
+	value, err := r.encode()
+	if err != nil {
+		m.apply(rec, rec.machine.unwritable(err.Error()))
+		return
+	}
+	key := rec.id.rowKey()
+	g.recs = append(g.recs, rec)
+	g.size += len(key) + len(value)
+	g.tx.Conditions = append(g.tx.Conditions, platform.Condition{Key: key, Version: rec.machine.version})
+	g.tx.Puts = append(g.tx.Puts, platform.Put{Key: key, Value: value, TTL: rowRetention})
+}
+
+// settle hands the outcome of a transaction to its keys.
+//
+// After a lost reply the same conditional writes are sent again instead of
+// reading each row. A read that finds no row proves nothing, because the lost
+// write may still land; a conditional write either takes its place, or fails
+// and returns the rows. It costs one transaction instead of a read per key.
+func (m *Manager) settle(g *group, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stats.Transactions++
+	m.stats.Rows += uint64(len(g.recs))
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		m.outage = 0
+		for _, rec := range g.recs {
+			m.apply(rec, rec.machine.committed())
+		}
+	case errors.As(err, &conflict) && m.settleConflict(g, conflict):
+		m.outage = 0
+	default:
+		m.settleFailure(g, err)
+	}
+}
+
+// settleConflict hands the rows in conflict to their keys and queues the rest
+// again. It reports whether the conflict concerned any key of the group.
+func (m *Manager) settleConflict(g *group, conflict *platform.ConflictError) bool {
+	rows := make(map[string]platform.Row, len(conflict.Rows))
+	for _, r := range conflict.Rows {
+		rows[r.Key] = r
+	}
+	var rest []*record
+	hit := false
+	for _, rec := range g.recs {
+		r, found := rows[rec.id.rowKey()]
+		if !found {
+			rest = append(rest, rec)
+			continue
+		}
+		hit = true
+		m.stats.Conflicts++
+		m.settleRow(rec, r)
+	}
+	if !hit {
+		return false
+	}
+	for _, rec := range rest {
+		rec.machine.inFlight = nil
+		rec.queued = true
+	}
+	m.retry = append(m.retry, rest...)
+	return true
+}
+
+func (m *Manager) settleRow(rec *record, r platform.Row) {
+	if r.Version == 0 {
+		m.apply(rec, rec.machine.conflict(0, nil))
+		return
+	}
+	stored, err := decodeRow(r.Value)
+	if err != nil {
+		m.cfg.Logger.Error("claim row cannot be read", "row", r.Key, "error", err)
+		// An unreadable row may stand for a run, so it is never replaced.
+		stored = &row{State: stateUnknown, Fingerprint: rec.machine.fp, Detail: "the claim row cannot be read"}
+	}
+	m.apply(rec, rec.machine.conflict(r.Version, stored))
+}
+
+func (m *Manager) settleFailure(g *group, err error) {
+	limit := attemptFailures
+	if m.outage >= attemptFailures {
+		limit = 1
+	}
+	m.outage++
+	// Any error that does not promise "nothing written" leaves doubt, also
+	// the end of the context.
+	unknown := !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrConflict)
+	if unknown {
+		m.stats.LostReplies++
+	} else {
+		m.stats.Unavailable++
+	}
+	if m.outage == 1 {
+		m.cfg.Logger.Warn("claim transaction failed", "keys", len(g.recs), "error", err)
+	}
+	for _, rec := range g.recs {
+		m.apply(rec, rec.machine.failed(unknown, limit))
+	}
+	if m.outage >= attemptFailures {
+		m.refuseQueued()
+	}
+}
+
+// refuseQueued ends the attempts that were never sent, so that their callers
+// learn of the outage before their deadline.
+func (m *Manager) refuseQueued() {
+	queued := m.urgent
+	m.urgent = nil
+	for _, rec := range queued {
+		rec.queued = false
+		m.apply(rec, rec.machine.unsent())
+	}
+}
+
+// close ends the attempts that wait for a claim that is no longer written.
+func (m *Manager) close() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.closed = true
+	for _, rec := range m.records {
+		if rec.machine.phase == claiming {
+			m.apply(rec, rec.machine.abandon(ReasonNotReady, "the entry instance is stopping"))
+		}
+	}
+}
+
+// Flush waits until every claim and result known so far is written. Run must
+// still be active. It fails when ctx ends first.
+func (m *Manager) Flush(ctx context.Context) error {
+	for {
+		left, changed := m.unwritten()
+		if left == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%d claims not written", left)
+		case <-changed:
+		}
+	}
+}
+
+func (m *Manager) unwritten() (int, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for _, rec := range m.records {
+		if rec.machine.phase != finished || !rec.machine.settled() {
+			n++
+		}
+	}
+	return n, m.idle
+}
--- /dev/null
+++ b/pkg/claim/doc.go
@@ -0,0 +1,26 @@
+// Package claim runs a request at most once for each idempotency key.
+//
+// The invariant: no key is dispatched a second time unless every earlier
+// dispatch of that key was proved not run. It rests on these rules:
+//
+//   - A caller-made key is dispatched only after its table row is known to be
+//     "claimed" by this incarnation with the attempt id of the ticket.
+//   - A "claimed" row is overwritten only by the incarnation that it names, and
+//     "done" and "unknown" rows are never overwritten. A "not_run" row may be
+//     taken over by any incarnation. Every write is conditional on the row
+//     version, so a delayed write cannot replace a newer one.
+//   - An incarnation forgets a caller-made key only when no write of the key is
+//     in doubt. A "claimed" row of this incarnation whose attempt is not in
+//     memory was therefore never dispatched and may be claimed again.
+//   - An entry-issued key is dispatched only by its owner, which remembers every
+//     finished key until the age limit refuses the key.
+//   - A ticket ends once, and a ticket that has ended cannot be dispatched.
+//
+// An attempt that arrives late, for instance a delayed duplicate of an earlier
+// one, is decided by the current state of its key like any new attempt: it
+// gets the recorded result, attaches to the request in flight, or runs if all
+// earlier attempts ended not run.
+//
+// The state machine of a key (machine) does no I/O and reads no clock; Manager
+// adds the lock, the waiting callers and the group commit.
+package claim
--- /dev/null
+++ b/pkg/claim/lookup.go
@@ -0,0 +1,146 @@
+package claim
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/dandelionrack/dandelionrack/pkg/platform"
+)
+
+// Limits of the scan of Unresolved.
+const (
+	scanPage     = 200
+	scanMaxPages = 500
+)
+
+// ErrScanLimit means that Unresolved stopped before it saw every claim.
+var ErrScanLimit = errors.New("claim: scan limit reached")
+
+// Lookup reads the claim of a key whose owner cannot be reached. It never
+// answers Run. An absent row and a claimed one are Unknown, because the owner
+// may have dispatched the request.
+func (m *Manager) Lookup(ctx context.Context, id ID) Decision {
+	key, err := ParseKey(id.Key)
+	if err != nil {
+		return refuse(ReasonKeyInvalid, err.Error())
+	}
+	id.Key = key.Raw
+	if err := m.waitRead(ctx); err != nil {
+		return unknownDecision("the claim was not read before the deadline")
+	}
+	stored, err := m.cfg.Table.Get(ctx, id.rowKey())
+	if errors.Is(err, platform.ErrNotFound) {
+		return unknownDecision("no claim is recorded")
+	}
+	if err != nil {
+		return unknownDecision("the claim cannot be read: " + err.Error())
+	}
+	r, err := decodeRow(stored.Value)
+	if err != nil {
+		return unknownDecision(err.Error())
+	}
+	return lookupDecision(r)
+}
+
+func unknownDecision(detail string) Decision {
+	return Decision{Verdict: Unknown, Detail: detail}
+}
+
+func lookupDecision(r *row) Decision {
+	var d Decision
+	switch r.State {
+	case stateNotRun:
+		d = refuse(r.Reason, r.Detail)
+	case stateClaimed:
+		d = unknownDecision("claimed by " + r.Entry + " without a result")
+	default:
+		d = r.finalDecision()
+	}
+	d.Fingerprint = r.Fingerprint
+	return d
+}
+
+// waitRead keeps this entry to its part of the read budget.
+func (m *Manager) waitRead(ctx context.Context) error {
+	entries := max(1, m.cfg.Entries())
+	m.reads.SetLimit(rate.Limit(m.cfg.ReadBudget / float64(entries)))
+	if err := m.reads.Wait(ctx); err != nil {
+		return errors.Wrap(err, "read budget")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stats.Reads++
+	return nil
+}
+
+// Unresolved is a claim whose outcome is not known.
+type Unresolved struct {
+	ID          ID          `json:"id"`
+	State       string      `json:"state"` // "unknown" or "claimed"
+	Owner       Incarnation `json:"owner"`
+	Detail      string      `json:"detail,omitempty"`
+	KeyCreated  time.Time   `json:"key_created"`
+	Fingerprint Fingerprint `json:"fingerprint"`
+}
+
+// Unresolved lists up to limit claims that are unknown, or claimed by an
+// incarnation that is not alive. It reads bounded pages within the read
+// budget. On an error it returns what it found so far.
+func (m *Manager) Unresolved(ctx context.Context, limit int) ([]Unresolved, error) {
+	var found []Unresolved
+	after := ""
+	for range scanMaxPages {
+		if err := m.waitRead(ctx); err != nil {
+			return found, err
+		}
+		rows, err := m.cfg.Table.List(ctx, rowPrefix, after, scanPage)
+		if err != nil {
+			return found, errors.Wrap(err, "list claims after "+strconv.Quote(after))
+		}
+		for _, r := range rows {
+			if u, ok := m.unresolved(r); ok {
+				found = append(found, u)
+			}
+			if len(found) >= limit {
+				return found, nil
+			}
+		}
+		if len(rows) < scanPage {
+			return found, nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+	return found, ErrScanLimit
+}
+
+func (m *Manager) unresolved(stored platform.Row) (Unresolved, bool) {
+	id, err := parseRowKey(stored.Key)
+	if err != nil {
+		m.cfg.Logger.Warn("claim row has a malformed key", "row", stored.Key)
+		return Unresolved{}, false
+	}
+	u := Unresolved{ID: id}
+	if key, err := ParseKey(id.Key); err == nil {
+		u.KeyCreated = key.Created
+	}
+	r, err := decodeRow(stored.Value)
+	if err != nil {
+		u.State = string(stateUnknown)
+		u.Detail = err.Error()
+		return u, true
+	}
+	u.State = string(r.State)
+	u.Owner = r.owner()
+	u.Detail = r.Detail
+	u.Fingerprint = r.Fingerprint
+	open := r.State == stateUnknown || r.State == stateClaimed && !m.alive(r.owner())
+	return u, open
+}
+
+func (m *Manager) alive(i Incarnation) bool {
+	return i == m.cfg.Self || m.cfg.Live != nil && m.cfg.Live(i)
+}
--- /dev/null
+++ b/pkg/claim/manager.go
@@ -0,0 +1,369 @@
+package claim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/time/rate"
+
+	"github.com/dandelionrack/dandelionrack/pkg/platform"
+)
+
+// Defaults of Config.
+const (
+	defaultWriteBudget   = 200.0 // transactions/s over all entries
+	defaultReadBudget    = 500.0 // reads/s over all entries, a quarter of the store's
+	defaultMaxPending    = 8192
+	defaultMaxIssued     = 100_000
+	defaultMaxBytes      = 32 << 20
+	defaultMaxGroup      = 256
+	defaultCommitTimeout = 2 * time.Second
+)
+
+// Config sets up a Manager. Zero limits take their defaults.
+type Config struct {
+	Self  Incarnation
+	Table platform.Table
+	// Entries returns the number of configured entry instances, dead or alive.
+	Entries func() int
+	// WriteBudget is in transactions/s and ReadBudget in reads/s, both over
+	// all entries.
+	WriteBudget float64
+	ReadBudget  float64
+	Logger      hclog.Logger
+	Now         func() time.Time
+	// Live reports whether an incarnation is known to be alive. Without it,
+	// Unresolved counts every other incarnation as dead.
+	Live func(Incarnation) bool
+	// MaxPending bounds caller-made keys in memory, MaxIssued entry-issued
+	// keys, and MaxBytes the results kept for both.
+	MaxPending int
+	MaxIssued  int
+	MaxBytes   int
+	// MaxGroup bounds the keys of one transaction.
+	MaxGroup      int
+	CommitTimeout time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.WriteBudget, defaultWriteBudget)
+	setDefault(&c.ReadBudget, defaultReadBudget)
+	setDefault(&c.MaxPending, defaultMaxPending)
+	setDefault(&c.MaxIssued, defaultMaxIssued)
+	setDefault(&c.MaxBytes, defaultMaxBytes)
+	setDefault(&c.MaxGroup, defaultMaxGroup)
+	setDefault(&c.CommitTimeout, defaultCommitTimeout)
+	if c.Logger == nil {
+		c.Logger = hclog.NewNullLogger()
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Entries == nil {
+		c.Entries = func() int { return 1 }
+	}
+	return c
+}
+
+func setDefault[T int | float64 | time.Duration](v *T, def T) {
+	if *v <= 0 {
+		*v = def
+	}
+}
+
+// Manager decides attempts and writes claims in the background. It is safe
+// for concurrent use.
+type Manager struct {
+	cfg   Config
+	reads *rate.Limiter
+	wake  chan struct{} // holds one token when there is something to write
+
+	mu      sync.Mutex
+	closed  bool
+	records map[ID]*record
+	issued  int // records of entry-issued keys
+	bytes   int // results kept in memory
+	// urgent holds claims that a caller waits for, background all other
+	// writes, and retry the keys of a group that failed through a conflict of
+	// others. Each record is in at most one of them.
+	urgent     []*record
+	background []*record
+	retry      []*record
+	copied     []*record // entry-issued results that the store has, oldest first
+	// evictedThrough is the latest creation time of an evicted entry-issued
+	// key. A clock that steps back cannot make such a key acceptable again.
+	evictedThrough time.Time
+	lastSweep      time.Time
+	outage         int // consecutive failed transactions
+	stats          Stats
+	idle           chan struct{} // closed and replaced when a record settles
+}
+
+// record is the memory of one key.
+type record struct {
+	id      ID
+	created time.Time
+	machine machine
+	ticket  *Ticket // of the current or last attempt
+	queued  bool
+	bytes   int
+	// stripped means that the result was dropped because the store has it.
+	stripped bool
+}
+
+// Stats are counters for expvar.
+type Stats struct {
+	Pending      int    `json:"pending"`
+	Issued       int    `json:"issued"`
+	Bytes        int    `json:"bytes"`
+	Transactions uint64 `json:"transactions"`
+	Rows         uint64 `json:"rows"`
+	Conflicts    uint64 `json:"conflicts"`
+	LostReplies  uint64 `json:"lost_replies"`
+	Unavailable  uint64 `json:"unavailable"`
+	Reads        uint64 `json:"reads"`
+	Violations   uint64 `json:"violations"`
+}
+
+// NewManager returns a manager whose writes start with Run.
+func NewManager(cfg Config) *Manager {
+	cfg = cfg.withDefaults()
+	return &Manager{
+		cfg:     cfg,
+		reads:   rate.NewLimiter(rate.Limit(cfg.ReadBudget), 1),
+		wake:    make(chan struct{}, 1),
+		records: make(map[ID]*record),
+		idle:    make(chan struct{}),
+	}
+}
+
+// Stats returns a copy of the counters.
+func (m *Manager) Stats() Stats {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.stats
+	s.Pending = len(m.records) - m.issued
+	s.Issued = m.issued
+	s.Bytes = m.bytes
+	return s
+}
+
+// Begin decides an attempt. It waits for the commit of the claim, or for the
+// result of a request of the same key that is in flight here. With verdict
+// Run the caller must end the ticket. For a caller-made key whose claim is not
+// written when ctx ends the answer is NotRun; for an attempt that waits for
+// another one it is Unknown, because that one may run.
+func (m *Manager) Begin(ctx context.Context, id ID, key Key, fp Fingerprint) Decision {
+	id.Key = key.Raw
+	if ctx.Err() != nil {
+		return refuse(ReasonDeadline, "the deadline passed before the claim")
+	}
+	if err := key.CheckAge(m.cfg.Now()); err != nil {
+		return refuse(ReasonKeyExpired, err.Error())
+	}
+	if key.Issued && key.Owner != m.cfg.Self {
+		return Decision{Verdict: PassTo, PassTo: key.Owner}
+	}
+	t, leads, d := m.join(id, key, fp)
+	switch {
+	case d.Verdict == Recorded && d.Result == nil:
+		return m.Lookup(ctx, id)
+	case d.Verdict != 0:
+		return d
+	case leads:
+		return m.awaitClaim(ctx, t)
+	}
+	return awaitResult(ctx, t)
+}
+
+// join starts an attempt (leads is true), attaches to one, or answers from
+// memory. A Recorded decision without a result is in the store only.
+func (m *Manager) join(id ID, key Key, fp Fingerprint) (t *Ticket, leads bool, d Decision) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return nil, false, refuse(ReasonNotReady, "the entry instance is stopping")
+	}
+	rec := m.records[id]
+	if rec == nil {
+		if d := m.admit(key); d.Verdict != 0 {
+			return nil, false, d
+		}
+		return m.lead(m.addRecord(id, key, fp)), true, Decision{}
+	}
+	switch {
+	case rec.machine.fp != fp:
+		return nil, false, refuse(ReasonKeyMismatch, "the key was used for another request")
+	case rec.machine.canRestart():
+		return m.lead(rec), true, Decision{}
+	case rec.machine.phase != finished:
+		return rec.ticket, false, Decision{}
+	case rec.stripped:
+		return nil, false, Decision{Verdict: Recorded}
+	}
+	return nil, false, rec.machine.ending.finalDecision()
+}
+
+// admit refuses a new key when memory is short.
+func (m *Manager) admit(key Key) Decision {
+	if key.Issued && !key.Created.After(m.evictedThrough) {
+		return refuse(ReasonKeyExpired, "older keys of this entry were dropped")
+	}
+	full := len(m.records)-m.issued >= m.cfg.MaxPending
+	if key.Issued {
+		if m.issued >= m.cfg.MaxIssued {
+			m.sweep(m.cfg.Now())
+		}
+		full = m.issued >= m.cfg.MaxIssued
+	}
+	if full || m.bytes >= m.cfg.MaxBytes {
+		return refuse(ReasonOverload, "too many claims in memory")
+	}
+	return Decision{}
+}
+
+func (m *Manager) addRecord(id ID, key Key, fp Fingerprint) *record {
+	rec := &record{id: id, created: key.Created}
+	rec.machine = machine{self: m.cfg.Self, issued: key.Issued, fp: fp}
+	m.records[id] = rec
+	if key.Issued {
+		m.issued++
+	}
+	return rec
+}
+
+func (m *Manager) lead(rec *record) *Ticket {
+	t := newTicket(m, rec)
+	rec.ticket = t
+	m.apply(rec, rec.machine.start(newUUID(m.cfg.Now()).String()))
+	return t
+}
+
+// apply carries out the effects of a message and queues what is to be
+// written. The caller holds the lock.
+func (m *Manager) apply(rec *record, e effects) {
+	if e.violated != "" {
+		m.stats.Violations++
+		m.cfg.Logger.Error("claim invariant violated", "customer", rec.id.Customer,
+			"service", rec.id.Service, "key", rec.id.Key, "problem", e.violated)
+	}
+	if e.grant {
+		close(rec.ticket.granted)
+	}
+	if e.answer != nil {
+		rec.ticket.end(*e.answer)
+	}
+	m.account(rec)
+	m.enqueue(rec)
+	m.release(rec, e.violated == "")
+}
+
+// account keeps the sum of result bytes.
+func (m *Manager) account(rec *record) {
+	size := 0
+	if rec.machine.ending != nil {
+		size = rec.machine.ending.Result.size()
+	}
+	m.bytes += size - rec.bytes
+	rec.bytes = size
+}
+
+func (m *Manager) enqueue(rec *record) {
+	if rec.queued || rec.machine.want == nil || rec.machine.inFlight != nil {
+		return
+	}
+	rec.queued = true
+	if rec.machine.phase == claiming {
+		m.urgent = append(m.urgent, rec)
+	} else {
+		m.background = append(m.background, rec)
+	}
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// release forgets a finished key that has nothing left to write. Finished
+// entry-issued keys stay, because only this memory stops a second run.
+// written is false when the store does not hold the result.
+func (m *Manager) release(rec *record, written bool) {
+	if rec.machine.phase != finished || !rec.machine.settled() {
+		return
+	}
+	close(m.idle)
+	m.idle = make(chan struct{})
+	if !rec.machine.issued || rec.machine.canRestart() {
+		m.forget(rec)
+		return
+	}
+	if written {
+		m.copied = append(m.copied, rec)
+		m.strip()
+	}
+}
+
+func (m *Manager) forget(rec *record) {
+	if m.records[rec.id] != rec {
+		return
+	}
+	delete(m.records, rec.id)
+	m.bytes -= rec.bytes
+	rec.bytes = 0
+	if rec.machine.issued {
+		m.issued--
+	}
+}
+
+// strip drops the oldest results that the store has while memory is short.
+func (m *Manager) strip() {
+	for m.bytes > m.cfg.MaxBytes/2 && len(m.copied) > 0 {
+		rec := m.copied[0]
+		m.copied[0] = nil
+		m.copied = m.copied[1:]
+		if rec.machine.ending.State != stateDone {
+			continue
+		}
+		rec.machine.ending.Result = nil
+		rec.stripped = true
+		m.account(rec)
+	}
+}
+
+const sweepInterval = time.Minute
+
+// sweep drops entry-issued keys that the age limit refuses: copied ones at
+// once, others when the retention has passed.
+func (m *Manager) sweep(now time.Time) {
+	if now.Sub(m.lastSweep) < sweepInterval {
+		return
+	}
+	m.lastSweep = now
+	for _, rec := range m.records {
+		age := now.Sub(rec.created)
+		mc := &rec.machine
+		expired := age > rowRetention || age > MaxKeyAge && mc.settled()
+		if !mc.issued || mc.phase != finished || mc.inFlight != nil || !expired {
+			continue
+		}
+		mc.want = nil
+		m.forget(rec)
+		if rec.created.After(m.evictedThrough) {
+			m.evictedThrough = rec.created
+		}
+	}
+	m.dropForgotten()
+}
+
+func (m *Manager) dropForgotten() {
+	kept := m.copied[:0]
+	for _, rec := range m.copied {
+		if m.records[rec.id] == rec {
+			kept = append(kept, rec)
+		}
+	}
+	clear(m.copied[len(kept):])
+	m.copied = kept
+}
--- /dev/null
+++ b/pkg/claim/row.go
@@ -0,0 +1,74 @@
+package claim
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// rowRetention exceeds MaxKeyAge, so that a claim outlives the acceptance of
+// its key.
+const rowRetention = 48 * time.Hour
+
+type state string
+
+const (
+	stateClaimed state = "claimed"
+	stateDone    state = "done"
+	stateUnknown state = "unknown"
+	stateNotRun  state = "not_run"
+)
+
+// row is the stored form of a claim.
+type row struct {
+	State       state       `json:"state"`
+	Entry       string      `json:"entry"`
+	Incarnation uint64      `json:"incarnation"`
+	Attempt     string      `json:"attempt"`
+	Fingerprint Fingerprint `json:"fingerprint"`
+	Result      *Result     `json:"result,omitempty"`
+	Reason      string      `json:"reason,omitempty"`
+	Detail      string      `json:"detail,omitempty"`
+}
+
+func (r *row) owner() Incarnation {
+	return Incarnation{Entry: r.Entry, Number: r.Incarnation}
+}
+
+func (r *row) final() bool { return r.State == stateDone || r.State == stateUnknown }
+
+// sameWrite reports whether a stored row is the effect of writing r.
+func (r *row) sameWrite(stored *row) bool {
+	return r.State == stored.State && r.owner() == stored.owner() && r.Attempt == stored.Attempt
+}
+
+func (r *row) encode() ([]byte, error) {
+	data, err := json.Marshal(r)
+	return data, errors.Wrap(err, "encode claim")
+}
+
+func decodeRow(data []byte) (*row, error) {
+	var r row
+	if err := json.Unmarshal(data, &r); err != nil {
+		return nil, errors.Wrap(err, "decode claim")
+	}
+	switch r.State {
+	case stateClaimed, stateUnknown, stateNotRun:
+	case stateDone:
+		if r.Result == nil {
+			return nil, errors.New("decode claim: done without a result")
+		}
+	default:
+		return nil, errors.Errorf("decode claim: unknown state %q", r.State)
+	}
+	return &r, nil
+}
+
+// finalDecision answers from a done or unknown row.
+func (r *row) finalDecision() Decision {
+	if r.State == stateDone {
+		return recorded(r.Result)
+	}
+	return Decision{Verdict: Unknown, Reason: r.Reason, Detail: r.Detail}
+}
