--- /dev/null
+++ b/pkg/burn/burn.go
@@ -0,0 +1,181 @@
+// Package burn counts good and bad answers by customer and service and
+// reports the burn rate of the error budget over 5 min, 1 h and 6 h.
+//
+// The package is pure: it does no I/O and reads no clock. Counters is safe
+// for concurrent use.
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Window names a period of the report.
+type Window string
+
+// Windows of the report.
+const (
+	Window5m Window = "5m"
+	Window1h Window = "1h"
+	Window6h Window = "6h"
+)
+
+// Windows lists all windows, shortest first.
+var Windows = []Window{Window5m, Window1h, Window6h}
+
+// The 5 min window has narrow buckets, because a bucket width is the error of
+// its length. The long windows share minute buckets to bound memory.
+const (
+	fineWidth    = 10 * time.Second
+	fineBuckets  = 30
+	wideWidth    = time.Minute
+	wideBuckets  = 360
+	hourBuckets  = 60
+	defaultLimit = 256
+)
+
+// Config bounds the counters.
+type Config struct {
+	// MaxSeries bounds the pairs of customer and service; each takes about
+	// 9 KB. Records of further pairs are counted as dropped.
+	MaxSeries int
+}
+
+type seriesKey struct {
+	customer, service string
+}
+
+type series struct {
+	fine ring
+	wide ring
+}
+
+// Counters holds the counts of one entry instance.
+type Counters struct {
+	cfg Config
+
+	mu      sync.Mutex
+	series  map[seriesKey]*series
+	dropped int64
+}
+
+// New returns empty counters.
+func New(cfg Config) *Counters {
+	if cfg.MaxSeries <= 0 {
+		cfg.MaxSeries = defaultLimit
+	}
+	return &Counters{cfg: cfg, series: make(map[seriesKey]*series)}
+}
+
+// Record counts one answer. Service is the canonical name.
+func (c *Counters) Record(now time.Time, customer, service string, good bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.find(seriesKey{customer: customer, service: service})
+	if s == nil {
+		c.dropped++
+		return
+	}
+	s.fine.add(now, good)
+	s.wide.add(now, good)
+}
+
+func (c *Counters) find(key seriesKey) *series {
+	if s, ok := c.series[key]; ok {
+		return s
+	}
+	if len(c.series) >= c.cfg.MaxSeries {
+		return nil
+	}
+	s := &series{fine: newRing(fineWidth, fineBuckets), wide: newRing(wideWidth, wideBuckets)}
+	c.series[key] = s
+	return s
+}
+
+// Counts are the answers of one window.
+type Counts struct {
+	Good int64 `json:"good"`
+	Bad  int64 `json:"bad"`
+}
+
+func (c Counts) plus(o Counts) Counts {
+	return Counts{Good: c.Good + o.Good, Bad: c.Bad + o.Bad}
+}
+
+// Series holds the counts of one service.
+type Series struct {
+	Customer string            `json:"customer"`
+	Service  string            `json:"service"`
+	Windows  map[Window]Counts `json:"windows"`
+}
+
+// Snapshot holds all counts at one time. Snapshots of several entry instances
+// are added with Merge.
+type Snapshot struct {
+	At     time.Time `json:"at"`
+	Series []Series  `json:"series"`
+	// Dropped counts records beyond the bound on series.
+	Dropped int64 `json:"dropped,omitempty"`
+}
+
+// Snapshot returns the counts of the windows that end at now.
+func (c *Counters) Snapshot(now time.Time) Snapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := Snapshot{At: now, Series: make([]Series, 0, len(c.series)), Dropped: c.dropped}
+	for key, s := range c.series {
+		out.Series = append(out.Series, Series{
+			Customer: key.customer,
+			Service:  key.service,
+			Windows: map[Window]Counts{
+				Window5m: s.fine.sum(now, fineBuckets),
+				Window1h: s.wide.sum(now, hourBuckets),
+				Window6h: s.wide.sum(now, wideBuckets),
+			},
+		})
+	}
+	sortSeries(out.Series)
+	return out
+}
+
+// Merge adds the counts of several snapshots. Its time is the latest one.
+func Merge(snapshots ...Snapshot) Snapshot {
+	out := Snapshot{Series: []Series{}}
+	at := make(map[seriesKey]int)
+	for _, snap := range snapshots {
+		if snap.At.After(out.At) {
+			out.At = snap.At
+		}
+		out.Dropped += snap.Dropped
+		for _, s := range snap.Series {
+			out.add(at, s)
+		}
+	}
+	sortSeries(out.Series)
+	return out
+}
+
+func (s *Snapshot) add(at map[seriesKey]int, in Series) {
+	key := seriesKey{customer: in.Customer, service: in.Service}
+	i, ok := at[key]
+	if !ok {
+		i = len(s.Series)
+		at[key] = i
+		s.Series = append(s.Series, Series{
+			Customer: in.Customer,
+			Service:  in.Service,
+			Windows:  make(map[Window]Counts, len(Windows)),
+		})
+	}
+	for w, counts := range in.Windows {
+		s.Series[i].Windows[w] = s.Series[i].Windows[w].plus(counts)
+	}
+}
+
+func sortSeries(list []Series) {
+	slices.SortFunc(list, func(a, b Series) int {
+		return cmp.Or(cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Service, b.Service))
+	})
+}
--- /dev/null
+++ b/pkg/burn/report.go
@@ -0,0 +1,83 @@
+package burn
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+)
+
+// WindowBurn is the burn of one service over one window.
+type WindowBurn struct {
+	Window Window `json:"window"`
+	Good   int64  `json:"good"`
+	Bad    int64  `json:"bad"`
+	// BadShare is bad / (good + bad), or 0 without answers.
+	BadShare float64 `json:"bad_share"`
+	// BurnRate is BadShare / (1 - availability objective); 1 uses up the
+	// budget exactly. It is absent without an objective below 1, because
+	// there is no budget to burn then.
+	BurnRate *float64 `json:"burn_rate,omitempty"`
+}
+
+// ServiceBurn is the burn of one service over all windows.
+type ServiceBurn struct {
+	Customer     string       `json:"customer"`
+	Service      string       `json:"service"`
+	Availability float64      `json:"availability"`
+	Windows      []WindowBurn `json:"windows"`
+}
+
+// Result is the burn of all services.
+type Result struct {
+	At       time.Time     `json:"at"`
+	Services []ServiceBurn `json:"services"`
+	Dropped  int64         `json:"dropped,omitempty"`
+}
+
+// Report computes the burn of each service of the contracts, and of services
+// that were counted but are in no contract any more.
+func Report(snapshot Snapshot, doc *config.Document) Result {
+	out := Result{At: snapshot.At, Services: []ServiceBurn{}, Dropped: snapshot.Dropped}
+	counted := make(map[seriesKey]map[Window]Counts)
+	for _, s := range snapshot.Series {
+		counted[seriesKey{customer: s.Customer, service: s.Service}] = s.Windows
+	}
+	for _, customer := range slices.Sorted(maps.Keys(doc.Contracts)) {
+		for _, service := range doc.Contracts[customer].Services {
+			key := seriesKey{customer: customer, service: service.Name}
+			out.Services = append(out.Services, serviceBurn(key, service.Objective.Availability, counted[key]))
+			delete(counted, key)
+		}
+	}
+	for key, windows := range counted {
+		out.Services = append(out.Services, serviceBurn(key, 0, windows))
+	}
+	slices.SortFunc(out.Services, func(a, b ServiceBurn) int {
+		return cmp.Or(cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Service, b.Service))
+	})
+	return out
+}
+
+// serviceBurn takes availability 0 as no objective.
+func serviceBurn(key seriesKey, availability float64, windows map[Window]Counts) ServiceBurn {
+	out := ServiceBurn{Customer: key.customer, Service: key.service, Availability: availability}
+	for _, w := range Windows {
+		out.Windows = append(out.Windows, windowBurn(w, windows[w], availability))
+	}
+	return out
+}
+
+func windowBurn(w Window, c Counts, availability float64) WindowBurn {
+	out := WindowBurn{Window: w, Good: c.Good, Bad: c.Bad}
+	if total := c.Good + c.Bad; total > 0 {
+		out.BadShare = float64(c.Bad) / float64(total)
+	}
+	if availability > 0 && availability < 1 {
+		rate := out.BadShare / (1 - availability)
+		out.BurnRate = &rate
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/lookup/table.go
@@ -0,0 +1,86 @@
+// Package lookup finds the failure domain of a client address and ranks the
+// entry instances for it.
+//
+// The package is pure: it does no I/O and reads no clock. A Table does not
+// change after Build and is safe for concurrent use.
+package lookup
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/gaissmai/bart"
+
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/findings"
+)
+
+// Table maps client addresses to failure domains by longest prefix.
+type Table struct {
+	// Values are indexes into domains, because a name in each of several
+	// hundred thousand entries would take four times the memory.
+	blocks  bart.Table[uint32]
+	domains []string
+}
+
+// Build makes the table of a deployment. Its error lists every client block
+// that is invalid.
+func Build(dep *config.Deployment) (*Table, error) {
+	t := &Table{}
+	index := make(map[string]uint32, len(dep.FailureDomains))
+	for _, fd := range dep.FailureDomains {
+		index[fd.Name] = uint32(len(t.domains))
+		t.domains = append(t.domains, fd.Name)
+	}
+	var problems findings.List
+	for i, block := range dep.ClientBlocks {
+		if field, problem := t.insert(block, index); problem != "" {
+			problems.Add(fmt.Sprintf("client_blocks[%d].%s", i, field), "%s", problem)
+		}
+	}
+	if err := problems.Err(); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// insert returns the field and the problem of an invalid block.
+func (t *Table) insert(block config.ClientBlock, index map[string]uint32) (field, problem string) {
+	prefix, err := netip.ParsePrefix(block.Prefix)
+	if err != nil {
+		return "prefix", err.Error()
+	}
+	domain, ok := index[block.FailureDomain]
+	if !ok {
+		return "failure_domain", fmt.Sprintf("unknown failure domain %q", block.FailureDomain)
+	}
+	prefix = unmapPrefix(prefix).Masked()
+	if have, ok := t.blocks.Get(prefix); ok && have != domain {
+		return "prefix", fmt.Sprintf("%s is already in failure domain %q", prefix, t.domains[have])
+	}
+	t.blocks.Insert(prefix, domain)
+	return "", ""
+}
+
+// unmapPrefix turns a prefix of IPv4-mapped IPv6 addresses into its IPv4
+// form, which is the form that Locate looks up.
+func unmapPrefix(p netip.Prefix) netip.Prefix {
+	const mappedBits = 96
+	if !p.Addr().Is4In6() || p.Bits() < mappedBits {
+		return p
+	}
+	return netip.PrefixFrom(p.Addr().Unmap(), p.Bits()-mappedBits)
+}
+
+// Locate returns the failure domain of the longest client block that contains
+// addr.
+func (t *Table) Locate(addr netip.Addr) (failureDomain string, ok bool) {
+	i, ok := t.blocks.Lookup(addr.Unmap().WithZone(""))
+	if !ok {
+		return "", false
+	}
+	return t.domains[i], true
+}
+
+// Len returns the number of client blocks.
+func (t *Table) Len() int { return t.blocks.Size() }
--- /dev/null
+++ b/pkg/peer/frame.go
@@ -0,0 +1,77 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"io"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+)
+
+// errGarbage means that a peer sent bytes that are no message.
+var errGarbage = errors.New("peer: malformed message")
+
+// encodeFrame returns the message with its length prefix, so that the size is
+// known before the first byte leaves.
+func encodeFrame(m proto.Message) ([]byte, error) {
+	if size := proto.Size(m); size > MaxMessage {
+		return nil, errors.Wrapf(ErrTooLarge, "%d bytes", size)
+	}
+	var buf bytes.Buffer
+	if _, err := protodelim.MarshalTo(&buf, m); err != nil {
+		return nil, errors.Wrap(err, "encode message")
+	}
+	return buf.Bytes(), nil
+}
+
+// readFrame reads one message and requires that nothing follows it. It
+// returns errGarbage for malformed input and the error of the reader when the
+// input ends early. Memory grows with the bytes that arrive, so a length
+// prefix alone reserves nothing; protodelim would allocate the whole length.
+func readFrame(r io.Reader, m proto.Message) error {
+	src := &earlyEnd{r: r}
+	br := bufio.NewReader(src)
+	size, err := binary.ReadUvarint(br)
+	if err != nil {
+		return src.classify(err)
+	}
+	if size > MaxMessage {
+		return errors.Wrapf(errGarbage, "length %d", size)
+	}
+	var body bytes.Buffer
+	if _, err := io.CopyN(&body, br, int64(size)); err != nil {
+		return src.classify(err)
+	}
+	if br.Buffered() > 0 {
+		return errors.Wrap(errGarbage, "data after the message")
+	}
+	if err := proto.Unmarshal(body.Bytes(), m); err != nil {
+		return errors.Wrap(errGarbage, err.Error())
+	}
+	return nil
+}
+
+// earlyEnd keeps the error of its source, which tells input that ended early
+// from malformed input.
+type earlyEnd struct {
+	r   io.Reader
+	err error
+}
+
+func (e *earlyEnd) Read(p []byte) (int, error) {
+	n, err := e.r.Read(p)
+	if err != nil {
+		e.err = err
+	}
+	return n, err
+}
+
+func (e *earlyEnd) classify(err error) error {
+	if e.err != nil {
+		return errors.Wrap(e.err, "read message")
+	}
+	return errors.Wrap(errGarbage, err.Error())
+}
--- /dev/null
+++ b/pkg/peer/link.go
@@ -0,0 +1,152 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+)
+
+// Bounds of the delay between two dials. A heartbeat goes out every 200 ms,
+// and a peer counts as gone only while refusals are less than 500 ms old, so
+// the control lane must be free to dial at each heartbeat.
+const (
+	backoffStart      = 20 * time.Millisecond
+	backoffMaxControl = 150 * time.Millisecond
+	backoffMaxBulk    = time.Second
+)
+
+// link holds at most one session to an address and dials it on demand.
+type link struct {
+	ctx context.Context
+	cfg Config
+	key sessionKey
+
+	mu       sync.Mutex
+	current  *yamux.Session
+	dialing  *dial // nil when no dial is in progress
+	closed   bool
+	backoff  time.Duration
+	nextDial time.Time
+	lastErr  error
+}
+
+// dial is one attempt that all waiting calls share.
+type dial struct {
+	done    chan struct{}
+	session *yamux.Session
+	err     error
+}
+
+func newLink(ctx context.Context, cfg Config, key sessionKey) *link {
+	return &link{ctx: ctx, cfg: cfg, key: key}
+}
+
+// session returns the open session or waits for a dial until ctx ends.
+func (l *link) session(ctx context.Context) (*yamux.Session, error) {
+	session, d, err := l.currentOrDial(time.Now())
+	if err != nil || session != nil {
+		return session, err
+	}
+	select {
+	case <-d.done:
+		return d.session, d.err
+	case <-ctx.Done():
+		return nil, notSent(l.key.addr, ctx.Err())
+	}
+}
+
+func (l *link) currentOrDial(now time.Time) (*yamux.Session, *dial, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil, nil, notSent(l.key.addr, ErrClosed)
+	}
+	if l.current != nil && !l.current.IsClosed() {
+		return l.current, nil, nil
+	}
+	if l.dialing != nil {
+		return nil, l.dialing, nil
+	}
+	if now.Before(l.nextDial) {
+		return nil, nil, inBackoff(l.key.addr, l.lastErr)
+	}
+	l.dialing = &dial{done: make(chan struct{})}
+	go l.dial(l.dialing)
+	return nil, l.dialing, nil
+}
+
+// dial runs apart from any call, because a call with little time left must
+// not end the dial that other calls wait for.
+func (l *link) dial(d *dial) {
+	session, err := l.connect()
+	l.mu.Lock()
+	l.dialing = nil
+	if err == nil && l.closed {
+		err = ErrClosed
+		go session.Close()
+	}
+	if err != nil {
+		d.err = dialFailed(l.key.addr, err)
+		l.delayNextDial(err)
+	} else {
+		d.session = session
+		l.current = session
+		l.backoff = 0
+	}
+	l.mu.Unlock()
+	close(d.done)
+}
+
+func (l *link) connect() (*yamux.Session, error) {
+	ctx, cancel := context.WithTimeout(l.ctx, l.cfg.DialTimeout)
+	defer cancel()
+	conn, err := l.dialConn(ctx)
+	if err != nil {
+		return nil, err
+	}
+	timeout := l.cfg.BulkTimeout
+	if l.key.lane == control {
+		timeout = l.cfg.ControlTimeout
+	}
+	session, err := yamux.Client(conn, l.cfg.yamux(timeout))
+	if err != nil {
+		_ = conn.Close()
+	}
+	return session, err
+}
+
+func (l *link) dialConn(ctx context.Context) (net.Conn, error) {
+	if l.cfg.TLS == nil {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", l.key.addr)
+	}
+	d := tls.Dialer{Config: l.cfg.TLS}
+	return d.DialContext(ctx, "tcp", l.key.addr)
+}
+
+func (l *link) delayNextDial(err error) {
+	limit := backoffMaxBulk
+	if l.key.lane == control {
+		limit = backoffMaxControl
+	}
+	l.backoff = min(max(2*l.backoff, backoffStart), limit)
+	jittered := l.backoff/2 + rand.N(l.backoff/2)
+	l.nextDial = time.Now().Add(jittered)
+	l.lastErr = err
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	l.closed = true
+	session := l.current
+	l.current = nil
+	l.mu.Unlock()
+	if session != nil {
+		_ = session.Close()
+	}
+}
--- /dev/null
+++ b/pkg/peer/peer.go
@@ -0,0 +1,103 @@
+// Package peer carries calls between entry instances over yamux sessions.
+//
+// Each call uses one stream: one wire.Request, one wire.Response, both with a
+// varint length prefix. Server and Pool are safe for concurrent use.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/yamux"
+
+	"github.com/dandelionrack/dandelionrack/pkg/wire"
+)
+
+// MaxMessage is the largest message in bytes. It holds a 4 MiB response body
+// with its headers and leaves room for a large configuration document.
+const MaxMessage = 6 << 20
+
+// Defaults of Config.
+const (
+	defaultDialTimeout = time.Second
+	defaultKeepAlive   = 500 * time.Millisecond
+	// A control session sends small messages only, so a ping unanswered for
+	// 1 s means that the peer is frozen or unreachable.
+	defaultControlTimeout = time.Second
+	// Queued bodies delay the pings of a bulk session on a slow link.
+	defaultBulkTimeout    = 2 * time.Second
+	defaultRequestTimeout = 10 * time.Second
+	defaultMaxStreams     = 256
+	// All entry instances of a test deployment share one source address, and
+	// each opens two sessions.
+	defaultMaxSessionsPerAddr = 64
+	// streamCloseTimeout is the time after which yamux resets a half-closed
+	// stream. Until then a reset means that the peer rejected the stream.
+	streamCloseTimeout = 5 * time.Minute
+)
+
+// Handler answers the calls of peers. The context ends when the caller gives
+// up or its session ends.
+type Handler interface {
+	Handle(ctx context.Context, req *wire.Request) *wire.Response
+}
+
+// Config is shared by Server and Pool. Zero values select the defaults.
+type Config struct {
+	// Self and Incarnation are sent with each request of a Pool.
+	Self        string
+	Incarnation uint64
+	// Handler answers calls; only a Server needs it.
+	Handler Handler
+	// TLS enables TLS: the client configuration for a Pool, the server
+	// configuration for a Server.
+	TLS         *tls.Config
+	DialTimeout time.Duration
+	// KeepAlive is the interval of session pings.
+	KeepAlive time.Duration
+	// ControlTimeout and BulkTimeout bound a ping and one write per session.
+	// A Server uses BulkTimeout for all sessions.
+	ControlTimeout time.Duration
+	BulkTimeout    time.Duration
+	// RequestTimeout bounds the time in which a peer must send its request.
+	RequestTimeout time.Duration
+	// MaxStreams bounds the concurrent calls per session.
+	MaxStreams int
+	// MaxSessionsPerAddr bounds the sessions per source IP address.
+	MaxSessionsPerAddr int
+	Logger             hclog.Logger
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.DialTimeout, defaultDialTimeout)
+	setDefault(&c.KeepAlive, defaultKeepAlive)
+	setDefault(&c.ControlTimeout, defaultControlTimeout)
+	setDefault(&c.BulkTimeout, defaultBulkTimeout)
+	setDefault(&c.RequestTimeout, defaultRequestTimeout)
+	setDefault(&c.MaxStreams, defaultMaxStreams)
+	setDefault(&c.MaxSessionsPerAddr, defaultMaxSessionsPerAddr)
+	if c.Logger == nil {
+		c.Logger = hclog.NewNullLogger()
+	}
+	return c
+}
+
+func setDefault[T int | time.Duration](v *T, def T) {
+	if *v <= 0 {
+		*v = def
+	}
+}
+
+func (c Config) yamux(writeTimeout time.Duration) *yamux.Config {
+	y := yamux.DefaultConfig()
+	y.AcceptBacklog = c.MaxStreams
+	y.KeepAliveInterval = c.KeepAlive
+	y.ConnectionWriteTimeout = writeTimeout
+	y.StreamOpenTimeout = c.RequestTimeout
+	y.StreamCloseTimeout = streamCloseTimeout
+	y.LogOutput = nil
+	y.Logger = c.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
+	return y
+}
