Add HTTP clients of the platform and of backend servers

Both send through internal/sendonce, because net/http resends a request over a broken kept connection when it looks replayable, and because a caller must know whether a failed request was sent. httpc was ruled out: its circuit breaker counts shed requests as failures and drops calls by its own rule.

--- /dev/null
+++ b/internal/sendonce/sendonce.go
@@ -0,0 +1,159 @@
+// Package sendonce sends HTTP requests over kept connections with net/http
+// and adds what at-most-once calls need: no request is sent twice, and a
+// failed request says whether any byte of it may have been sent.
+//
+// The Transport of net/http sends a request again when a kept connection
+// breaks and the request looks replayable: GET, or any method with an
+// Idempotency-Key header, while the body is absent or has GetBody. A backend
+// server that runs a request and then closes the connection would run it
+// twice. Every request of this package therefore carries a body that is not
+// nil and cannot be rewound, also when it is empty.
+package sendonce
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Defaults of Options.
+const (
+	defaultDialTimeout = time.Second
+	// The idle time stays below that of common servers (60 s and more), so
+	// that a request seldom meets a connection that the server is closing.
+	defaultIdleTimeout = 30 * time.Second
+	keepAlivePeriod    = 15 * time.Second
+)
+
+// Options limit the connections of a Client.
+type Options struct {
+	// MaxConnections bounds open and opening connections per address; 0 means
+	// no bound.
+	MaxConnections int
+	DialTimeout    time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Client sends requests. It is safe for concurrent use.
+type Client struct {
+	transport *http.Transport
+}
+
+// Request is one request whose body is held whole.
+type Request struct {
+	Method string
+	URL    string
+	Header http.Header
+	Body   []byte
+}
+
+// Error is a request without a response.
+type Error struct {
+	// Sent is false only if no byte of the request left this process.
+	Sent bool
+	Err  error
+}
+
+func (e *Error) Error() string {
+	if e.Sent {
+		return "request may have been sent: " + e.Err.Error()
+	}
+	return "request was not sent: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// New returns a client with its own Transport.
+func New(o Options) *Client {
+	if o.DialTimeout <= 0 {
+		o.DialTimeout = defaultDialTimeout
+	}
+	if o.IdleTimeout <= 0 {
+		o.IdleTimeout = defaultIdleTimeout
+	}
+	dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAlive: keepAlivePeriod}
+	return &Client{transport: newTransport(o, dialer)}
+}
+
+func newTransport(o Options, dialer *net.Dialer) *http.Transport {
+	idle := o.MaxConnections
+	if idle <= 0 {
+		idle = 1024
+	}
+	// HTTP/2 is off: it would put all requests on one connection, and it has
+	// resend rules of its own. Compression is off so that bodies pass as they
+	// are. Proxy settings of the environment do not apply to these calls.
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		Proxy: nil,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: c}, nil
+		},
+		Protocols:           protocols,
+		DisableCompression:  true,
+		MaxConnsPerHost:     o.MaxConnections,
+		MaxIdleConnsPerHost: idle,
+		IdleConnTimeout:     o.IdleTimeout,
+	}
+}
+
+// Send sends the request at most once and returns the response. Each error
+// is an *Error. It does not follow redirects.
+func (c *Client) Send(ctx context.Context, r Request) (*http.Response, error) {
+	var used *conn
+	var mark uint64
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		used, _ = info.Conn.(*conn)
+		mark = used.mark()
+	}}
+	req, err := r.build(httptrace.WithClientTrace(ctx, trace))
+	if err != nil {
+		return nil, &Error{Err: err}
+	}
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil {
+		sent := used != nil && used.seal(mark)
+		return nil, &Error{Sent: sent, Err: err}
+	}
+	return resp, nil
+}
+
+func (r Request) build(ctx context.Context) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, r.Method, r.URL, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	if r.Header != nil {
+		req.Header = r.Header.Clone()
+	}
+	req.Body = onceBody{bytes.NewReader(r.Body)}
+	req.GetBody = nil
+	// An empty body keeps length 0 with a body that is not nil, which net/http
+	// sends as "unknown length": nothing for GET, an empty chunked body for
+	// POST.
+	req.ContentLength = int64(len(r.Body))
+	return req, nil
+}
+
+// CloseIdle closes the connections that no request uses.
+func (c *Client) CloseIdle() { c.transport.CloseIdleConnections() }
+
+// onceBody hides the type of its reader: net/http could rewind a
+// *bytes.Reader.
+type onceBody struct{ r io.Reader }
+
+func (b onceBody) Read(p []byte) (int, error) { return b.r.Read(p) }
+
+func (b onceBody) Close() error { return nil }
--- /dev/null
+++ b/pkg/backend/do.go
@@ -0,0 +1,148 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dandelionrack/dandelionrack/internal/sendonce"
+)
+
+// Headers of the protocol between entry instances and backend servers.
+const (
+	// TimeoutHeader is the time left for the request in milliseconds.
+	TimeoutHeader = "Request-Timeout-Ms"
+	// NotRunHeader on a 503 says that the server did not run the request.
+	NotRunHeader = "Not-Run"
+)
+
+// maxDrainBytes bounds what is read of a refusal to keep its connection.
+const maxDrainBytes = 64 << 10
+
+// Do sends a call once and returns the whole answer. Each error is a
+// *NotRunError or an *UnknownError.
+func (p *Pool) Do(ctx context.Context, call Call) (*Answer, error) {
+	if call.Timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, call.Timeout)
+		defer cancel()
+	}
+	header, err := callHeader(ctx, call.Header)
+	if err != nil {
+		return nil, err
+	}
+	s := p.clientFor(call.Server, call.Addr, call.MaxConnections)
+	resp, err := s.client.Send(ctx, sendonce.Request{
+		Method: call.Method, URL: "http://" + call.Addr + call.Path, Header: header, Body: call.Body,
+	})
+	if err != nil {
+		return nil, sendFailure(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(NotRunHeader) == "true" {
+		_, _ = io.CopyN(io.Discard, resp.Body, maxDrainBytes)
+		return nil, &NotRunError{Reason: "shed by the backend server", Shed: true}
+	}
+	return readAnswer(resp, call)
+}
+
+// callHeader adds the time that is left. A call without time left is not
+// sent.
+func callHeader(ctx context.Context, header http.Header) (http.Header, error) {
+	out := header.Clone()
+	if out == nil {
+		out = http.Header{}
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return out, nil
+	}
+	left := time.Until(deadline).Milliseconds()
+	if left <= 0 {
+		return nil, &NotRunError{Reason: "deadline passed before the call", Err: ctx.Err()}
+	}
+	out.Set(TimeoutHeader, strconv.FormatInt(left, 10))
+	return out, nil
+}
+
+func sendFailure(err error) error {
+	var failed *sendonce.Error
+	if errors.As(err, &failed) && !failed.Sent {
+		return &NotRunError{Reason: "request was not sent", Err: failed.Err}
+	}
+	return &UnknownError{Reason: "no answer", Err: err}
+}
+
+// readAnswer reads the body to its end. A body that ends only with its
+// connection has no known end, so it cannot be told from a truncated one.
+func readAnswer(resp *http.Response, call Call) (*Answer, error) {
+	if !hasKnownEnd(resp, call.Method) {
+		return nil, &UnknownError{Reason: "answer has neither a length nor chunks"}
+	}
+	limit := call.MaxResponseBytes
+	if limit <= 0 {
+		limit = defaultMaxResponseBytes
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, &UnknownError{Reason: "answer is not whole", Err: err}
+	}
+	if int64(len(body)) > limit {
+		return nil, &UnknownError{Reason: "answer is larger than " + strconv.FormatInt(limit, 10) + " bytes"}
+	}
+	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+}
+
+func hasKnownEnd(resp *http.Response, method string) bool {
+	switch {
+	case method == http.MethodHead, resp.StatusCode == http.StatusNoContent, resp.StatusCode == http.StatusNotModified:
+		return true
+	case resp.ContentLength >= 0:
+		return true
+	default:
+		return slices.Contains(resp.TransferEncoding, "chunked")
+	}
+}
+
+func warm(ctx context.Context, s *server, n int) error {
+	group, ctx := errgroup.WithContext(ctx)
+	answered := make(chan struct{}, n)
+	all := make(chan struct{})
+	for range n {
+		group.Go(func() error { return warmOne(ctx, s, answered, all) })
+	}
+	group.Go(func() error {
+		defer close(all)
+		for range n {
+			select {
+			case <-answered:
+			case <-ctx.Done():
+				return errors.Wrap(ctx.Err(), "warm connections")
+			}
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+// warmOne holds its connection until all requests are answered.
+func warmOne(ctx context.Context, s *server, answered chan<- struct{}, all <-chan struct{}) error {
+	resp, err := s.client.Send(ctx, sendonce.Request{Method: http.MethodGet, URL: "http://" + s.addr + healthPath})
+	if err != nil {
+		return errors.Wrap(err, "warm connection")
+	}
+	defer resp.Body.Close()
+	answered <- struct{}{}
+	<-all
+	_, err = io.CopyN(io.Discard, resp.Body, maxDrainBytes)
+	if err != nil && !errors.Is(err, io.EOF) {
+		return errors.Wrap(err, "warm connection")
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/platform/client.go
@@ -0,0 +1,226 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionrack/dandelionrack/internal/sendonce"
+)
+
+const (
+	defaultClientTimeout = 2 * time.Second
+	maxAnswerBytes       = 64 << 20
+	// NotWrittenHeader on a 503 says that the platform refused the request
+	// before it wrote anything.
+	NotWrittenHeader = "Not-Written"
+)
+
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	// BaseURL is such as "http://127.0.0.1:9000".
+	BaseURL string
+	// Timeout bounds each call; 0 means 2 s.
+	Timeout time.Duration
+}
+
+// Client calls the platform over HTTP. It implements Platform.
+//
+// It does not use httpc of go-zero: the circuit breaker of httpc drops calls
+// by its own rule after errors, and http.Client adds redirects and resends. The
+// writer of a claim must know whether its transaction was sent.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *sendonce.Client
+}
+
+var _ Platform = (*Client)(nil)
+
+// NewClient returns a client of the platform at cfg.BaseURL.
+func NewClient(cfg ClientConfig) *Client {
+	if cfg.Timeout <= 0 {
+		cfg.Timeout = defaultClientTimeout
+	}
+	return &Client{
+		base:    strings.TrimRight(cfg.BaseURL, "/"),
+		timeout: cfg.Timeout,
+		http:    sendonce.New(sendonce.Options{DialTimeout: cfg.Timeout}),
+	}
+}
+
+// Close closes the connections that no call uses.
+func (c *Client) Close() { c.http.CloseIdle() }
+
+// ConflictBody is the body of a 409 answer to a transaction.
+type ConflictBody struct {
+	Rows []Row `json:"rows"`
+}
+
+// Commit applies a transaction.
+func (c *Client) Commit(ctx context.Context, tx Tx) error {
+	body, err := json.Marshal(tx)
+	if err != nil {
+		return errors.Wrap(err, "encode transaction")
+	}
+	a, err := c.write(ctx, http.MethodPost, "/v1/tx", body)
+	if err != nil {
+		return errors.Wrap(err, "commit")
+	}
+	if a.status != http.StatusConflict {
+		return nil
+	}
+	var conflict ConflictBody
+	if err := json.Unmarshal(a.body, &conflict); err != nil {
+		return errors.Wrapf(ErrUnknownOutcome, "commit: decode conflict: %v", err)
+	}
+	return &ConflictError{Rows: conflict.Rows}
+}
+
+// Get reads a row.
+func (c *Client) Get(ctx context.Context, key string) (Row, error) {
+	var row Row
+	err := c.read(ctx, "/v1/rows/"+escapePath(key), &row)
+	return row, errors.Wrap(err, "get row")
+}
+
+// List reads rows by key prefix.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
+	var rows []Row
+	err := c.read(ctx, "/v1/rows?"+listQuery(prefix, after, limit), &rows)
+	return rows, errors.Wrap(err, "list rows")
+}
+
+// PutObject stores an object.
+func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
+	_, err := c.write(ctx, http.MethodPut, "/v1/objects/"+escapePath(name), data)
+	return errors.Wrap(err, "put object")
+}
+
+// GetObject reads an object.
+func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
+	a, err := c.get(ctx, "/v1/objects/"+escapePath(name))
+	return a.body, errors.Wrap(err, "get object")
+}
+
+// ListObjects returns names of objects by prefix.
+func (c *Client) ListObjects(ctx context.Context, prefix, after string, limit int) ([]string, error) {
+	var names []string
+	err := c.read(ctx, "/v1/objects?"+listQuery(prefix, after, limit), &names)
+	return names, errors.Wrap(err, "list objects")
+}
+
+// Instances returns the platform's instance list.
+func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+	var list []Instance
+	err := c.read(ctx, "/v1/instances", &list)
+	return list, errors.Wrap(err, "list instances")
+}
+
+// escapePath escapes each segment and keeps the slashes of a key.
+func escapePath(key string) string {
+	parts := strings.Split(key, "/")
+	for i, p := range parts {
+		parts[i] = url.PathEscape(p)
+	}
+	return strings.Join(parts, "/")
+}
+
+func listQuery(prefix, after string, limit int) string {
+	return url.Values{
+		"prefix": {prefix},
+		"after":  {after},
+		"limit":  {strconv.Itoa(limit)},
+	}.Encode()
+}
+
+type answer struct {
+	status int
+	body   []byte
+}
+
+// write sends a request that changes state. Statuses 200, 204 and 409 are
+// returned; everything else is an error that says what is known.
+func (c *Client) write(ctx context.Context, method, path string, body []byte) (answer, error) {
+	a, header, err := c.do(ctx, method, path, body)
+	if err != nil {
+		return a, outcomeOf(err)
+	}
+	switch {
+	case a.status == http.StatusOK, a.status == http.StatusNoContent, a.status == http.StatusConflict:
+		return a, nil
+	case a.status == http.StatusServiceUnavailable && header.Get(NotWrittenHeader) == "true":
+		return a, errors.Wrap(ErrUnavailable, "not written")
+	case a.status >= 400 && a.status < 500:
+		return a, errors.Errorf("platform: status %d: %s", a.status, a.body)
+	default:
+		return a, errors.Wrapf(ErrUnknownOutcome, "status %d", a.status)
+	}
+}
+
+// outcomeOf maps a failed write to ErrUnavailable or ErrUnknownOutcome.
+func outcomeOf(err error) error {
+	var failed *sendonce.Error
+	if errors.As(err, &failed) && !failed.Sent {
+		return errors.Wrapf(ErrUnavailable, "%v", err)
+	}
+	return errors.Wrapf(ErrUnknownOutcome, "%v", err)
+}
+
+func (c *Client) read(ctx context.Context, path string, into any) error {
+	a, err := c.get(ctx, path)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(a.body, into); err != nil {
+		return errors.Wrap(err, "decode answer")
+	}
+	return nil
+}
+
+// get reads a path. A read has no effect, so each failure to get an answer is
+// ErrUnavailable.
+func (c *Client) get(ctx context.Context, path string) (answer, error) {
+	a, _, err := c.do(ctx, http.MethodGet, path, nil)
+	switch {
+	case err != nil:
+		return answer{}, errors.Wrapf(ErrUnavailable, "%v", err)
+	case a.status == http.StatusOK:
+		return a, nil
+	case a.status == http.StatusNotFound:
+		return answer{}, ErrNotFound
+	case a.status >= 500:
+		return answer{}, errors.Wrapf(ErrUnavailable, "status %d", a.status)
+	default:
+		return answer{}, errors.Errorf("platform: status %d: %s", a.status, a.body)
+	}
+}
+
+// do sends one request and reads the whole answer.
+func (c *Client) do(ctx context.Context, method, path string, body []byte) (answer, http.Header, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	header := http.Header{"Content-Type": {"application/json"}}
+	resp, err := c.http.Send(ctx, sendonce.Request{
+		Method: method, URL: c.base + path, Header: header, Body: body,
+	})
+	if err != nil {
+		return answer{}, nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err != nil {
+		return answer{}, nil, &sendonce.Error{Sent: true, Err: errors.Wrap(err, "read answer")}
+	}
+	if len(data) > maxAnswerBytes {
+		return answer{}, nil, &sendonce.Error{Sent: true, Err: errors.New("answer too large")}
+	}
+	return answer{status: resp.StatusCode, body: data}, resp.Header, nil
+}
