--- /dev/null
+++ b/internal/standin/platform/server.go
@@ -0,0 +1,152 @@
+// Package platform is the stand-in for the platform's table service, object
+// store and instance list, held in memory, with limits and faults for tests.
+package platform
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+	"golang.org/x/time/rate"
+
+	"github.com/dandelionrack/dandelionrack/internal/standin/restserver"
+	"github.com/dandelionrack/dandelionrack/pkg/platform"
+)
+
+// burstPart is the part of a second whose allowance may be used at once.
+const burstPart = 0.1
+
+// Server is a running stand-in.
+type Server struct {
+	*restserver.Server
+
+	settings Settings
+	commits  *rate.Limiter
+	reads    *rate.Limiter
+
+	mu        sync.Mutex
+	rows      *store
+	objects   map[string][]byte
+	lists     []instanceList // oldest first
+	fault     Fault
+	faultDone chan struct{} // closed when the fault is replaced
+	stats     Stats
+}
+
+type instanceList struct {
+	at        time.Time
+	instances []platform.Instance
+}
+
+// Start runs the stand-in until Close.
+func Start(settings Settings) (*Server, error) {
+	s := &Server{
+		settings:  settings,
+		commits:   newLimiter(settings.TransactionsPerSecond),
+		reads:     newLimiter(settings.ReadsPerSecond),
+		rows:      newStore(),
+		objects:   map[string][]byte{},
+		faultDone: make(chan struct{}),
+	}
+	// The zero time makes the first list visible at once, whatever the lag.
+	s.lists = []instanceList{{instances: slices.Clone(settings.Instances)}}
+	server, err := restserver.Start(settings.Addr, s.routes())
+	if err != nil {
+		return nil, err
+	}
+	s.Server = server
+	return s, nil
+}
+
+func newLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond*burstPart)))
+}
+
+func (s *Server) routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodPost, Path: "/v1/tx", Handler: s.guard(s.commits, s.handleCommit)},
+		{Method: http.MethodGet, Path: "/v1/rows/{key...}", Handler: s.guard(s.reads, s.handleGet)},
+		{Method: http.MethodGet, Path: "/v1/rows", Handler: s.guard(s.reads, s.handleList)},
+		{Method: http.MethodPut, Path: "/v1/objects/{name...}", Handler: s.guard(s.commits, s.handlePutObject)},
+		{Method: http.MethodGet, Path: "/v1/objects/{name...}", Handler: s.guard(s.reads, s.handleGetObject)},
+		{Method: http.MethodGet, Path: "/v1/objects", Handler: s.guard(s.reads, s.handleListObjects)},
+		{Method: http.MethodGet, Path: "/v1/instances", Handler: s.guard(s.reads, s.handleInstances)},
+		{Method: http.MethodPost, Path: "/admin/fault", Handler: s.handleSetFault},
+		{Method: http.MethodGet, Path: "/admin/fault", Handler: s.handleFault},
+		{Method: http.MethodPut, Path: "/admin/instances", Handler: s.handleSetInstances},
+		{Method: http.MethodGet, Path: "/admin/stats", Handler: s.handleStats},
+	}
+}
+
+// guard applies the outage, the limit and the latency before a handler.
+func (s *Server) guard(limit *rate.Limiter, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		fault, done := s.currentFault()
+		switch fault.Down {
+		case DownRefuse:
+			s.count(func(st *Stats) { st.DownRefused++ })
+			refuse(w, "down")
+			return
+		case DownDrop:
+			panic(http.ErrAbortHandler)
+		case DownHang:
+			select {
+			case <-done:
+			case <-r.Context().Done():
+			}
+			panic(http.ErrAbortHandler)
+		}
+		if !limit.Allow() {
+			s.count(func(st *Stats) { st.RateRefused++ })
+			refuse(w, "rate limit")
+			return
+		}
+		time.Sleep(fault.Latency.Std())
+		next(w, r)
+	}
+}
+
+func refuse(w http.ResponseWriter, reason string) {
+	w.Header().Set(platform.NotWrittenHeader, "true")
+	http.Error(w, reason, http.StatusServiceUnavailable)
+}
+
+func (s *Server) currentFault() (Fault, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fault, s.faultDone
+}
+
+// SetFault replaces the fault.
+func (s *Server) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+	close(s.faultDone)
+	s.faultDone = make(chan struct{})
+}
+
+// SetInstances replaces the instance list; callers see it after the lag.
+func (s *Server) SetInstances(list []platform.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists = append(s.lists, instanceList{at: time.Now(), instances: slices.Clone(list)})
+}
+
+// Stats returns the counts so far.
+func (s *Server) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stats
+}
+
+func (s *Server) count(add func(*Stats)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	add(&s.stats)
+}
--- /dev/null
+++ b/internal/standin/restserver/router.go
@@ -0,0 +1,30 @@
+package restserver
+
+import (
+	"net/http"
+
+	"github.com/zeromicro/go-zero/rest/httpx"
+)
+
+// router is a httpx.Router over http.ServeMux. The router of go-zero matches
+// single path segments only, and row keys contain slashes.
+type router struct {
+	mux *http.ServeMux
+}
+
+var _ httpx.Router = (*router)(nil)
+
+func newRouter() *router { return &router{mux: http.NewServeMux()} }
+
+func (r *router) Handle(method, path string, handler http.Handler) error {
+	r.mux.Handle(method+" "+path, handler)
+	return nil
+}
+
+func (r *router) ServeHTTP(w http.ResponseWriter, req *http.Request) { r.mux.ServeHTTP(w, req) }
+
+// SetNotFoundHandler is ignored: the answers of http.ServeMux suffice.
+func (r *router) SetNotFoundHandler(http.Handler) {}
+
+// SetNotAllowedHandler is ignored, as SetNotFoundHandler.
+func (r *router) SetNotAllowedHandler(http.Handler) {}
--- a/pkg/backend/poller.go
+++ b/pkg/backend/poller.go
@@ -187,5 +187,8 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Errorf("get %s: status %d", url, resp.StatusCode)
 	}
-	return errors.Wrapf(json.Unmarshal(body, into), "decode %s", url)
+	if err := json.Unmarshal(body, into); err != nil {
+		return errors.Wrapf(err, "decode %s", url)
+	}
+	return nil
 }
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -87,50 +87,70 @@
 // Get reads a row.
 func (c *Client) Get(ctx context.Context, key string) (Row, error) {
 	var row Row
-	err := c.read(ctx, "/v1/rows/"+escapePath(key), &row)
-	return row, errors.Wrap(err, "get row")
+	path, err := pathOf("/v1/rows/", key)
+	if err != nil {
+		return row, err
+	}
+	err = c.read(ctx, path, &row)
+	return row, wrapNonNil(err, "get row")
 }
 
 // List reads rows by key prefix.
 func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
 	var rows []Row
 	err := c.read(ctx, "/v1/rows?"+listQuery(prefix, after, limit), &rows)
-	return rows, errors.Wrap(err, "list rows")
+	return rows, wrapNonNil(err, "list rows")
 }
 
 // PutObject stores an object.
 func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
-	_, err := c.write(ctx, http.MethodPut, "/v1/objects/"+escapePath(name), data)
-	return errors.Wrap(err, "put object")
+	path, err := pathOf("/v1/objects/", name)
+	if err != nil {
+		return err
+	}
+	_, err = c.write(ctx, http.MethodPut, path, data)
+	return wrapNonNil(err, "put object")
 }
 
 // GetObject reads an object.
 func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
-	a, err := c.get(ctx, "/v1/objects/"+escapePath(name))
-	return a.body, errors.Wrap(err, "get object")
+	path, err := pathOf("/v1/objects/", name)
+	if err != nil {
+		return nil, err
+	}
+	a, err := c.get(ctx, path)
+	return a.body, wrapNonNil(err, "get object")
 }
 
 // ListObjects returns names of objects by prefix.
 func (c *Client) ListObjects(ctx context.Context, prefix, after string, limit int) ([]string, error) {
 	var names []string
 	err := c.read(ctx, "/v1/objects?"+listQuery(prefix, after, limit), &names)
-	return names, errors.Wrap(err, "list objects")
+	return names, wrapNonNil(err, "list objects")
 }
 
 // Instances returns the platform's instance list.
 func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
 	var list []Instance
 	err := c.read(ctx, "/v1/instances", &list)
-	return list, errors.Wrap(err, "list instances")
+	return list, wrapNonNil(err, "list instances")
+}
+
+// wrapNonNil keeps nil: errors.Wrap of go-faster returns an error for nil.
+func wrapNonNil(err error, message string) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Wrap(err, message)
 }
 
-// escapePath escapes each segment and keeps the slashes of a key.
-func escapePath(key string) string {
-	parts := strings.Split(key, "/")
-	for i, p := range parts {
-		parts[i] = url.PathEscape(p)
+// pathOf puts a key into one path segment. It refuses keys that path cleaning
+// would change.
+func pathOf(collection, key string) (string, error) {
+	if key == "" || key == "." || key == ".." {
+		return "", errors.Errorf("platform: key %q is not valid", key)
 	}
-	return strings.Join(parts, "/")
+	return collection + url.PathEscape(key), nil
 }
 
 func listQuery(prefix, after string, limit int) string {
