--- /dev/null
+++ b/cmd/drentry/main.go
@@ -0,0 +1,87 @@
+// Command drentry runs one entry instance: it answers lookups, sends requests
+// to backend servers under the contracts of their customers, and serves the
+// operator API.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/dandelionrack/dandelionrack/internal/version"
+	"github.com/dandelionrack/dandelionrack/pkg/entry"
+	"github.com/dandelionrack/dandelionrack/pkg/settings"
+)
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2 // usage or invalid settings
+)
+
+type commandLine struct {
+	Settings string           `help:"Settings file, JSON with comments." required:"" placeholder:"FILE"`
+	Check    bool             `help:"Check the settings, print every finding and exit."`
+	Version  kong.VersionFlag `help:"Print the version and exit."`
+}
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	var cl commandLine
+	parser := kong.Must(&cl,
+		kong.Name("drentry"),
+		kong.Description("Runs one entry instance of dandelionrack. SIGTERM or SIGINT starts a graceful stop.\n\nExit codes: 0 stopped gracefully, 1 failure, 2 usage or invalid settings."),
+		kong.Vars{"version": "drentry " + version.String()},
+	)
+	if _, err := parser.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "drentry:", err)
+		return exitUsage
+	}
+	var s entry.Settings
+	if err := settings.Load(cl.Settings, &s, s.Check); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if cl.Check {
+		return exitOK
+	}
+	s.SetDefaults()
+	log := hclog.New(&hclog.LoggerOptions{
+		Name:       "drentry",
+		Level:      hclog.LevelFromString(s.LogLevel),
+		Output:     os.Stderr,
+		JSONFormat: s.LogFormat == entry.LogFormatJSON,
+	})
+	if err := serve(s, log); err != nil {
+		log.Error("entry instance failed", "error", err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+func serve(s entry.Settings, log hclog.Logger) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	// The channel stays registered: a second signal must not end the process
+	// while requests are in flight.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		cancel()
+	}()
+	e, err := entry.New(s, log)
+	if err != nil {
+		return err
+	}
+	return e.Run(ctx)
+}
--- /dev/null
+++ b/internal/testbed/bed.go
@@ -0,0 +1,435 @@
+package testbed
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dandelionrack/dandelionrack/internal/loadgen"
+	backendstandin "github.com/dandelionrack/dandelionrack/internal/standin/backend"
+	linkstandin "github.com/dandelionrack/dandelionrack/internal/standin/link"
+	platformstandin "github.com/dandelionrack/dandelionrack/internal/standin/platform"
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/operator"
+)
+
+// Options describe a bed.
+type Options struct {
+	// Bin is the folder of the built programs.
+	Bin string
+	// Deployment is a folder with deployment.json and contract.json.
+	Deployment string
+	// Dir receives settings and logs.
+	Dir string
+	// Delays shapes the links; nil adds no delay and no bandwidth limit.
+	Delays *Delays
+	// Work is the cost of a request at a backend server.
+	Work backendstandin.Work
+	// LookupTTL of the entry instances.
+	LookupTTL time.Duration
+	LogLevel  string
+	// ContractChanges adjust the contract before it is applied.
+	Contract func(*config.Contract)
+}
+
+// Bed is a running deployment. Its methods are safe for concurrent use.
+type Bed struct {
+	opts   Options
+	layout *layout
+
+	mu    sync.Mutex
+	procs map[string]*process
+}
+
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+// startTimeout bounds the start of a process until it answers.
+const startTimeout = 15 * time.Second
+
+// Start runs all processes and applies deployment and contract. On an error
+// nothing is left running.
+func Start(ctx context.Context, opts Options) (*Bed, error) {
+	l, err := loadLayout(opts.Deployment, opts.Delays)
+	if err != nil {
+		return nil, err
+	}
+	if opts.Contract != nil {
+		opts.Contract(&l.contract)
+	}
+	if opts.LookupTTL == 0 {
+		opts.LookupTTL = time.Second
+	}
+	b := &Bed{opts: opts, layout: l, procs: map[string]*process{}}
+	if err := b.startAll(ctx); err != nil {
+		b.Close()
+		return nil, err
+	}
+	return b, nil
+}
+
+func (b *Bed) startAll(ctx context.Context) error {
+	if err := b.StartPlatform(ctx); err != nil {
+		return err
+	}
+	if err := b.startProgram("drbackend", "drbackend", b.layout.backendSettings(b.opts.Work)); err != nil {
+		return err
+	}
+	links := linkstandin.Settings{Admin: b.layout.linkAdminAddr(), Links: b.layout.links, Groups: b.layout.groups}
+	if err := b.startProgram("drlink", "drlink", links); err != nil {
+		return err
+	}
+	for _, url := range []string{
+		"http://" + b.layout.backendAdminAddr() + "/admin/stats",
+		"http://" + b.layout.linkAdminAddr() + "/admin/links",
+	} {
+		if err := waitHTTP(ctx, url); err != nil {
+			return err
+		}
+	}
+	for _, in := range b.layout.deployment.EntryInstances {
+		if err := b.launchEntry(in, true); err != nil {
+			return err
+		}
+	}
+	if err := b.applyConfig(ctx); err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	for _, in := range b.layout.deployment.EntryInstances {
+		group.Go(func() error { return b.WaitReady(ctx, in.ID) })
+	}
+	return group.Wait()
+}
+
+// StartPlatform starts the platform stand-in and waits until it answers.
+func (b *Bed) StartPlatform(ctx context.Context) error {
+	s := platformstandin.DefaultSettings()
+	s.Addr = b.layout.platformAddr()
+	if err := b.startProgram("drplatform", "drplatform", s); err != nil {
+		return err
+	}
+	return waitHTTP(ctx, "http://"+s.Addr+"/admin/stats")
+}
+
+func (b *Bed) applyConfig(ctx context.Context) error {
+	first := b.layout.deployment.EntryInstances[0]
+	if err := waitTCP(ctx, first.OperatorAddr); err != nil {
+		return err
+	}
+	client, err := b.Operator(first.ID)
+	if err != nil {
+		return err
+	}
+	change := config.Change{ID: loadgen.NewKey(), Author: "testbed", At: time.Now()}
+	if _, err := client.SubmitChange(ctx, change, config.ApplyDeployment{Deployment: b.layout.deployment}); err != nil {
+		return errors.Wrap(err, "apply deployment")
+	}
+	change.ID = loadgen.NewKey()
+	_, err = client.SubmitChange(ctx, change, config.ApplyContract{Contract: b.layout.contract})
+	return errors.Wrap(err, "apply contract")
+}
+
+func (b *Bed) launchEntry(in config.EntryInstance, fresh bool) error {
+	s := b.layout.entrySettings(in, fresh, b.opts.LookupTTL)
+	s.LogLevel = b.opts.LogLevel
+	return b.startProgram(in.ID, "drentry", s)
+}
+
+// startProgram writes the settings of a process and starts it. Its output goes
+// to a log file in the bed's folder.
+func (b *Bed) startProgram(name, program string, settings any) error {
+	data, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return errors.Wrapf(err, "settings of %s", name)
+	}
+	file := filepath.Join(b.opts.Dir, name+".json")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return errors.Wrapf(err, "settings of %s", name)
+	}
+	logFile, err := os.OpenFile(filepath.Join(b.opts.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrapf(err, "log of %s", name)
+	}
+	cmd := exec.Command(filepath.Join(b.opts.Bin, program), "--settings", file)
+	cmd.Stdout, cmd.Stderr = logFile, logFile
+	// The process must not outlive a test that is killed.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		_ = logFile.Close()
+		return errors.Wrapf(err, "start %s", name)
+	}
+	p := &process{cmd: cmd, done: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		_ = logFile.Close()
+		close(p.done)
+	}()
+	b.mu.Lock()
+	b.procs[name] = p
+	b.mu.Unlock()
+	return nil
+}
+
+func (b *Bed) process(name string) (*process, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p, ok := b.procs[name]
+	if !ok {
+		return nil, errors.Errorf("no process %q in this bed", name)
+	}
+	return p, nil
+}
+
+// Signal sends a signal to a process: an entry instance by id, or
+// "drplatform", "drbackend", "drlink".
+func (b *Bed) Signal(name string, sig syscall.Signal) error {
+	p, err := b.process(name)
+	if err != nil {
+		return err
+	}
+	return errors.Wrapf(p.cmd.Process.Signal(sig), "signal %s", name)
+}
+
+// Kill ends a process at once and waits for its end.
+func (b *Bed) Kill(name string) error {
+	if err := b.Signal(name, syscall.SIGKILL); err != nil {
+		return err
+	}
+	p, err := b.process(name)
+	if err != nil {
+		return err
+	}
+	<-p.done
+	return nil
+}
+
+// Stop asks a process to stop gracefully and returns its error after its end.
+func (b *Bed) Stop(ctx context.Context, name string) error {
+	if err := b.Signal(name, syscall.SIGTERM); err != nil {
+		return err
+	}
+	p, err := b.process(name)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-p.done:
+		return errors.Wrapf(p.err, "%s", name)
+	case <-ctx.Done():
+		return errors.Wrapf(ctx.Err(), "stop of %s", name)
+	}
+}
+
+// StartEntry starts an entry instance again, as a replacement that knows
+// nothing of its predecessor. It does not wait for readiness.
+func (b *Bed) StartEntry(id string) error {
+	for _, in := range b.layout.deployment.EntryInstances {
+		if in.ID == id {
+			return b.launchEntry(in, false)
+		}
+	}
+	return errors.Errorf("no entry instance %q", id)
+}
+
+// WaitReady waits until an entry instance has a contract in force.
+func (b *Bed) WaitReady(ctx context.Context, id string) error {
+	client, err := b.Operator(id)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	return poll(ctx, func() error {
+		st, err := client.Status(ctx)
+		if err != nil {
+			return err
+		}
+		if st.State != "ready" {
+			return errors.Errorf("entry instance %s is %s", id, st.State)
+		}
+		doc, err := client.Document(ctx)
+		if err != nil {
+			return err
+		}
+		if len(doc.Contracts) == 0 {
+			return errors.Errorf("entry instance %s has no contract yet", id)
+		}
+		return nil
+	})
+}
+
+// Operator returns a client of the operator API of an entry instance.
+func (b *Bed) Operator(id string) (*operator.Client, error) {
+	for _, in := range b.layout.deployment.EntryInstances {
+		if in.ID == id {
+			return operator.NewClient(operator.ClientConfig{
+				BaseURL: "http://" + in.OperatorAddr, Token: OperatorToken, Timeout: 10 * time.Second,
+			})
+		}
+	}
+	return nil, errors.Errorf("no entry instance %q", id)
+}
+
+// Deployment is the deployment with the addresses of this bed.
+func (b *Bed) Deployment() config.Deployment { return b.layout.deployment }
+
+// Contract is the contract that was applied at the start.
+func (b *Bed) Contract() config.Contract { return b.layout.contract }
+
+// Caller returns the n-th caller of a failure domain.
+func (b *Bed) Caller(failureDomain string, n int, token string) (*loadgen.Caller, error) {
+	addr, err := b.layout.clientAddress(failureDomain, n)
+	if err != nil {
+		return nil, err
+	}
+	var seeds []string
+	for _, in := range b.layout.deployment.EntryInstances {
+		if in.FailureDomain == failureDomain {
+			seeds = append(seeds, in.CallerAddr)
+		}
+	}
+	for _, in := range b.layout.deployment.EntryInstances {
+		if in.FailureDomain != failureDomain {
+			seeds = append(seeds, in.CallerAddr)
+		}
+	}
+	return &loadgen.Caller{
+		Seeds:      seeds,
+		Token:      token,
+		Client:     addr,
+		AddressMap: b.layout.callerMaps[failureDomain],
+		HTTP:       loadgen.NewHTTPClient(),
+	}, nil
+}
+
+// Callers returns n callers for each failure domain, domains in turn.
+func (b *Bed) Callers(n int, token string) ([]*loadgen.Caller, error) {
+	var out []*loadgen.Caller
+	for i := range n {
+		for _, fd := range b.layout.deployment.FailureDomains {
+			c, err := b.Caller(fd.Name, i, token)
+			if err != nil {
+				return nil, err
+			}
+			out = append(out, c)
+		}
+	}
+	return out, nil
+}
+
+// PlatformFault sets the faults of the platform stand-in.
+func (b *Bed) PlatformFault(ctx context.Context, f platformstandin.Fault) error {
+	return postJSON(ctx, "http://"+b.layout.platformAddr()+"/admin/fault", f)
+}
+
+// PlatformStats reads the counters of the platform stand-in.
+func (b *Bed) PlatformStats(ctx context.Context) (platformstandin.Stats, error) {
+	var out platformstandin.Stats
+	return out, getJSON(ctx, "http://"+b.layout.platformAddr()+"/admin/stats", &out)
+}
+
+// BackendMode changes backend servers by id prefix.
+func (b *Bed) BackendMode(ctx context.Context, prefix string, mode map[string]any) error {
+	return postJSON(ctx, "http://"+b.layout.backendAdminAddr()+"/admin/mode?server="+prefix, mode)
+}
+
+// BackendStats reads the counters of all backend servers.
+func (b *Bed) BackendStats(ctx context.Context) (map[string]backendstandin.Stats, error) {
+	out := map[string]backendstandin.Stats{}
+	return out, getJSON(ctx, "http://"+b.layout.backendAdminAddr()+"/admin/stats", &out)
+}
+
+// Ledger reads the runs of all backend servers; query may filter them.
+func (b *Bed) Ledger(ctx context.Context, query string) ([]backendstandin.Run, error) {
+	var out []backendstandin.Run
+	return out, getJSON(ctx, "http://"+b.layout.backendAdminAddr()+"/admin/ledger?"+query, &out)
+}
+
+// Link changes links by name prefix.
+func (b *Bed) Link(ctx context.Context, prefix string, state map[string]any) error {
+	return postJSON(ctx, "http://"+b.layout.linkAdminAddr()+"/admin/links?prefix="+prefix, state)
+}
+
+// Heal ends the faults of links by name prefix.
+func (b *Bed) Heal(ctx context.Context, prefix string) error {
+	return postJSON(ctx, "http://"+b.layout.linkAdminAddr()+"/admin/heal?prefix="+prefix, struct{}{})
+}
+
+// Links returns the names of all links.
+func (b *Bed) Links() []string {
+	out := make([]string, 0, len(b.layout.links))
+	for _, l := range b.layout.links {
+		out = append(out, l.Name)
+	}
+	return out
+}
+
+// Close ends all processes of the bed.
+func (b *Bed) Close() {
+	b.mu.Lock()
+	procs := make([]*process, 0, len(b.procs))
+	for _, p := range b.procs {
+		procs = append(procs, p)
+	}
+	b.mu.Unlock()
+	for _, p := range procs {
+		_ = p.cmd.Process.Kill()
+	}
+	for _, p := range procs {
+		<-p.done
+	}
+}
+
+func postJSON(ctx context.Context, url string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	return exchange(req, nil)
+}
+
+func getJSON(ctx context.Context, url string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	return exchange(req, into)
+}
+
+func exchange(req *http.Request, into any) error {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode/100 != 2 {
+		return errors.Errorf("%s: status %d: %s", req.URL, resp.StatusCode, data)
+	}
+	if into == nil {
+		return nil
+	}
+	return errors.Wrap(json.Unmarshal(data, into), req.URL.String())
+}
--- /dev/null
+++ b/internal/testbed/layout.go
@@ -0,0 +1,279 @@
+// Package testbed runs the processes of one deployment on loopback addresses:
+// stand-ins of the platform, of the backend servers and of the links, and the
+// entry instances. The demo, the scenarios and the bench share it.
+package testbed
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	backendstandin "github.com/dandelionrack/dandelionrack/internal/standin/backend"
+	linkstandin "github.com/dandelionrack/dandelionrack/internal/standin/link"
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/entry"
+	"github.com/dandelionrack/dandelionrack/pkg/settings"
+)
+
+// OperatorToken is the operator token of every entry instance of a bed.
+const OperatorToken = "testbed-operator"
+
+// Ports of a bed, as offsets from its base port. All loopback hosts of the
+// deployment use the same ports.
+const (
+	callerOffset = iota
+	peerOffset
+	operatorOffset
+	backendOffset
+	platformOffset
+	backendAdminOffset
+	linkAdminOffset
+	linkOffset // first of many
+)
+
+const portsPerBed = 400
+
+// layout is a deployment with the addresses of one bed.
+type layout struct {
+	base       int
+	deployment config.Deployment
+	contract   config.Contract
+	links      []linkstandin.LinkSettings
+	groups     []linkstandin.GroupSettings
+	// maps holds the address map of each entry instance, of each failure
+	// domain's callers, and of the platform's users.
+	entryMaps    map[string]map[string]string
+	callerMaps   map[string]map[string]string
+	platformURLs map[string]string
+}
+
+// Delays of the brief's network.
+type Delays struct {
+	BetweenDomains time.Duration
+	ToClients      time.Duration
+	// StoreRegion is where the platform's services are.
+	StoreRegion string
+}
+
+func loadLayout(dir string, delays *Delays) (*layout, error) {
+	l := &layout{
+		entryMaps:    map[string]map[string]string{},
+		callerMaps:   map[string]map[string]string{},
+		platformURLs: map[string]string{},
+	}
+	if err := settings.Load(filepath.Join(dir, "deployment.json"), &l.deployment, nil); err != nil {
+		return nil, err
+	}
+	if err := settings.Load(filepath.Join(dir, "contract.json"), &l.contract, nil); err != nil {
+		return nil, err
+	}
+	base, err := freeBase(l.deployment.EntryInstances[0].CallerAddr)
+	if err != nil {
+		return nil, err
+	}
+	l.base = base
+	l.movePorts()
+	l.addLinks(delays)
+	return l, nil
+}
+
+// freeBase finds a range of ports below the ephemeral range that no other bed
+// uses now.
+func freeBase(sample string) (int, error) {
+	const first, last = 10000, 30000
+	host, _, err := net.SplitHostPort(sample)
+	if err != nil {
+		return 0, err
+	}
+	for range 100 {
+		base := first + rand.IntN((last-first)/portsPerBed)*portsPerBed
+		listener, err := net.Listen("tcp", net.JoinHostPort(host, strconv.Itoa(base)))
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		return base, nil
+	}
+	return 0, errors.New("no free port range found")
+}
+
+func (l *layout) port(offset int) string { return strconv.Itoa(l.base + offset) }
+
+func (l *layout) movePorts() {
+	for i := range l.deployment.EntryInstances {
+		in := &l.deployment.EntryInstances[i]
+		in.CallerAddr = withPort(in.CallerAddr, l.port(callerOffset))
+		in.PeerAddr = withPort(in.PeerAddr, l.port(peerOffset))
+		in.OperatorAddr = withPort(in.OperatorAddr, l.port(operatorOffset))
+	}
+	for i := range l.deployment.BackendServers {
+		s := &l.deployment.BackendServers[i]
+		s.Addr = withPort(s.Addr, l.port(backendOffset))
+	}
+}
+
+func withPort(addr, port string) string {
+	host, _, _ := net.SplitHostPort(addr)
+	return net.JoinHostPort(host, port)
+}
+
+func (l *layout) platformAddr() string     { return "127.0.0.1:" + l.port(platformOffset) }
+func (l *layout) backendAdminAddr() string { return "127.0.0.1:" + l.port(backendAdminOffset) }
+func (l *layout) linkAdminAddr() string    { return "127.0.0.1:" + l.port(linkAdminOffset) }
+
+// addLinks puts a link between every pair of entry instances of different
+// failure domains, between entry instances and the platform, and between the
+// callers of each failure domain and the entry instances. Link names are
+// "peer/<from>/<to>", "platform/<entry>" and "caller/<domain>/<entry>".
+func (l *layout) addLinks(delays *Delays) {
+	next := l.base + linkOffset
+	add := func(name, target string, delay time.Duration, group string) string {
+		listen := "127.0.0.1:" + strconv.Itoa(next)
+		next++
+		l.links = append(l.links, linkstandin.LinkSettings{
+			Name: name, Listen: listen, Target: target, Delay: config.Duration(delay), Group: group,
+		})
+		return listen
+	}
+	d := Delays{}
+	if delays != nil {
+		d = *delays
+	}
+	for _, from := range l.deployment.EntryInstances {
+		peers := map[string]string{}
+		for _, to := range l.deployment.EntryInstances {
+			if from.FailureDomain == to.FailureDomain {
+				continue
+			}
+			delay, group := l.pathBetween(from.FailureDomain, to.FailureDomain, d, delays != nil)
+			peers[to.PeerAddr] = add(linkName("peer", from.ID, to.ID), to.PeerAddr, delay, group)
+		}
+		l.entryMaps[from.ID] = peers
+		delay := time.Duration(0)
+		if region := l.deployment.RegionOf(from.FailureDomain); delays != nil && region != d.StoreRegion {
+			delay = l.linkDelay(region, d.StoreRegion)
+		}
+		l.platformURLs[from.ID] = "http://" + add("platform/"+from.ID, l.platformAddr(), delay, "")
+	}
+	for _, fd := range l.deployment.FailureDomains {
+		callers := map[string]string{}
+		for _, to := range l.deployment.EntryInstances {
+			delay := d.ToClients
+			if region := l.deployment.RegionOf(to.FailureDomain); delays != nil && region != fd.Region {
+				delay += l.linkDelay(region, fd.Region)
+			}
+			callers[to.CallerAddr] = add(linkName("caller", fd.Name, to.ID), to.CallerAddr, delay, "")
+		}
+		l.callerMaps[fd.Name] = callers
+	}
+}
+
+func linkName(parts ...string) string { return strings.Join(parts, "/") }
+
+// pathBetween returns the delay and the shared capacity between two failure
+// domains. The groups count the requests and answers of one region pair
+// together, each way.
+func (l *layout) pathBetween(a, b string, d Delays, shaped bool) (time.Duration, string) {
+	ra, rb := l.deployment.RegionOf(a), l.deployment.RegionOf(b)
+	if !shaped {
+		return 0, ""
+	}
+	if ra == rb {
+		return d.BetweenDomains, ""
+	}
+	name := ra + ">" + rb
+	l.addGroup(name, l.linkBits(ra, rb))
+	return l.linkDelay(ra, rb), name
+}
+
+func (l *layout) addGroup(name string, bits int64) {
+	for _, g := range l.groups {
+		if g.Name == name {
+			return
+		}
+	}
+	l.groups = append(l.groups, linkstandin.GroupSettings{Name: name, BitsPerSecond: bits})
+}
+
+func (l *layout) findLink(a, b string) *config.Link {
+	for i, link := range l.deployment.Links {
+		if (link.A == a && link.B == b) || (link.A == b && link.B == a) {
+			return &l.deployment.Links[i]
+		}
+	}
+	return nil
+}
+
+func (l *layout) linkDelay(a, b string) time.Duration {
+	if link := l.findLink(a, b); link != nil {
+		return link.OneWayDelay.Std()
+	}
+	return 0
+}
+
+func (l *layout) linkBits(a, b string) int64 {
+	if link := l.findLink(a, b); link != nil && link.BitsPerSecond > 0 {
+		return link.BitsPerSecond
+	}
+	return l.deployment.DefaultLinkBitsPerSecond
+}
+
+// entrySettings are the start-up settings of one entry instance.
+func (l *layout) entrySettings(in config.EntryInstance, fresh bool, ttl time.Duration) entry.Settings {
+	return entry.Settings{
+		ID:                 in.ID,
+		FailureDomain:      in.FailureDomain,
+		CallerAddr:         in.CallerAddr,
+		PeerAddr:           in.PeerAddr,
+		OperatorAddr:       in.OperatorAddr,
+		PlatformURL:        l.platformURLs[in.ID],
+		Seeds:              l.seeds(in),
+		OperatorToken:      OperatorToken,
+		LookupTTL:          config.Duration(ttl),
+		NoPredecessor:      fresh,
+		AllowClientAddress: true,
+		AddressMap:         l.entryMaps[in.ID],
+	}
+}
+
+func (l *layout) seeds(self config.EntryInstance) []string {
+	var out []string
+	for _, in := range l.deployment.EntryInstances {
+		if in.ID != self.ID {
+			out = append(out, in.PeerAddr)
+		}
+	}
+	return out
+}
+
+func (l *layout) backendSettings(work backendstandin.Work) backendstandin.Settings {
+	out := backendstandin.Settings{Admin: l.backendAdminAddr(), Work: work}
+	for _, s := range l.deployment.BackendServers {
+		out.Servers = append(out.Servers, backendstandin.ServerSettings{
+			ID: s.ID, Addr: s.Addr, Slots: s.Slots, MaxConnections: s.MaxConnections,
+		})
+	}
+	return out
+}
+
+// clientAddress is an address inside the client block of a failure domain.
+func (l *layout) clientAddress(failureDomain string, i int) (string, error) {
+	for _, b := range l.deployment.ClientBlocks {
+		if b.FailureDomain != failureDomain || !strings.HasPrefix(b.Prefix, "10.") {
+			continue
+		}
+		ip, _, err := net.ParseCIDR(b.Prefix)
+		if err != nil {
+			return "", err
+		}
+		v4 := ip.To4()
+		return fmt.Sprintf("%d.%d.%d.%d", v4[0], v4[1], i/250%250, 1+i%250), nil
+	}
+	return "", errors.Errorf("failure domain %s has no client block", failureDomain)
+}
--- /dev/null
+++ b/internal/testbed/wait.go
@@ -0,0 +1,54 @@
+package testbed
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const pollInterval = 20 * time.Millisecond
+
+// poll repeats a check until it passes or ctx ends.
+func poll(ctx context.Context, check func() error) error {
+	for {
+		err := check()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(err, "condition not reached in time")
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// Wait repeats a check until it passes or the time is over.
+func Wait(ctx context.Context, d time.Duration, check func() error) error {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	return poll(ctx, check)
+}
+
+func waitHTTP(ctx context.Context, url string) error {
+	return Wait(ctx, startTimeout, func() error {
+		resp, err := http.Get(url)
+		if err != nil {
+			return err
+		}
+		return resp.Body.Close()
+	})
+}
+
+func waitTCP(ctx context.Context, addr string) error {
+	return Wait(ctx, startTimeout, func() error {
+		conn, err := net.DialTimeout("tcp", addr, time.Second)
+		if err != nil {
+			return err
+		}
+		return conn.Close()
+	})
+}
--- a/pkg/entry/callers.go
+++ b/pkg/entry/callers.go
@@ -17,6 +17,7 @@
 	"github.com/dandelionrack/dandelionrack/pkg/claim"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/lookup"
+	"github.com/dandelionrack/dandelionrack/pkg/shift"
 	"github.com/dandelionrack/dandelionrack/pkg/trace"
 	"github.com/dandelionrack/dandelionrack/pkg/wire"
 )
@@ -100,7 +101,7 @@
 	if !ok {
 		from = e.settings.FailureDomain
 	}
-	ranked := lookup.Rank(&v.doc.Deployment, from, addr, e.entryState)
+	ranked := lookup.Rank(&v.doc.Deployment, from, e.entryState, e.settings.ID, addr)
 	out := make([]LookupEntry, 0, len(ranked))
 	for _, in := range ranked {
 		out = append(out, LookupEntry{
@@ -219,7 +220,7 @@
 	if err != nil {
 		return nil, refusal(ReasonBadRequest, "client address: %v", err)
 	}
-	if !e.allowRate(contract.Customer, svc.Name, now) {
+	if !e.allowRate(shift.Key{Customer: contract.Customer, Service: svc.Name}, now) {
 		return nil, refusal(ReasonRateLimit, "the contract's rate for this service is used up at this entry instance")
 	}
 	body, bad := e.readBody(r)
@@ -231,7 +232,7 @@
 		view:       v,
 		contract:   contract,
 		service:    svc,
-		homeRegion: v.homeRegion(addr, e.region),
+		homeRegion: v.homeRegion(addr, v.region),
 		method:     r.Method,
 		path:       path,
 		header:     endToEndHeader(r.Header),
--- a/pkg/entry/configsync.go
+++ b/pkg/entry/configsync.go
@@ -38,7 +38,7 @@
 	if old := e.currentView(); old != nil && old.doc.Version >= doc.Version {
 		return nil
 	}
-	v, err := newView(doc)
+	v, err := newView(doc, e.settings.FailureDomain)
 	if err != nil {
 		return err
 	}
@@ -47,7 +47,7 @@
 	e.membershipUpdate(func() { e.members.SetPeers(now, doc.Deployment.EntryInstances) })
 	e.applyLimits(v, now)
 	e.applyServers(v)
-	e.poller.SetServers(pollTargets(v, e.settings.FailureDomain))
+	e.poller.SetTargets(e.pollTargets(v))
 	e.metrics.configVersion.Set(int64(doc.Version))
 	return nil
 }
@@ -88,7 +88,7 @@
 func (e *Entry) fetchConfig(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, configCallTimeout)
 	defer cancel()
-	rep, err := e.peers.Call(ctx, addr, &wire.Request{Call: &wire.Request_ConfigFetch{
+	rep, err := e.callPeer(ctx, addr, &wire.Request{Call: &wire.Request_ConfigFetch{
 		ConfigFetch: &wire.ConfigFetch{HaveVersion: e.configVersion()},
 	}})
 	if err != nil {
@@ -122,7 +122,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), configCallTimeout)
 			defer cancel()
-			_, err := e.peers.Call(ctx, peer.PeerAddr, &wire.Request{Call: &wire.Request_ConfigPush{
+			_, err := e.callPeer(ctx, peer.PeerAddr, &wire.Request{Call: &wire.Request_ConfigPush{
 				ConfigPush: &wire.ConfigPush{Version: doc.Version, Document: data},
 			}})
 			if err != nil {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -7,7 +7,6 @@
 	"crypto/rand"
 	"encoding/binary"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +33,7 @@
 type Entry struct {
 	settings Settings
 	self     claim.Incarnation
+	started  time.Time
 	log      hclog.Logger
 	metrics  *metrics
 
@@ -42,7 +42,6 @@
 	holder   *config.Holder
 	applyMu  sync.Mutex
 	view     atomic.Pointer[view]
-	region   string
 	fetching atomic.Bool
 
 	gate     *gate
@@ -66,7 +65,7 @@
 	confirmed      map[string]bool
 	holdOffCleared bool
 
-	burn     *burn.Recorder
+	burn     *burn.Counters
 	spans    *trace.Ring
 	archiver *trace.Archiver
 
@@ -94,6 +93,7 @@
 	e := &Entry{
 		settings:        settings,
 		self:            self,
+		started:         now,
 		log:             logger.With("entry", settings.ID),
 		metrics:         newMetrics(),
 		platform:        platform.NewClient(platform.ClientConfig{BaseURL: settings.PlatformURL, Timeout: configCallTimeout}),
@@ -108,7 +108,7 @@
 		spans:           trace.NewRing(trace.RingConfig{}),
 	}
 	e.store = configstore.New(e.platform, newRequestID)
-	e.limits = newLimits(now)
+	e.limits = newLimits(now, settings.NoPredecessor)
 	e.archiver = trace.NewArchiver(trace.ArchiverConfig{Entry: settings.ID, Objects: e.platform, Logger: e.log})
 	e.claims = claim.NewManager(claim.Config{
 		Self:    self,
@@ -186,6 +186,7 @@
 		e.runConfigPoll,
 		e.runHeartbeats,
 		e.runInstanceList,
+		e.archiver.Run,
 	} {
 		group.Go(func() error {
 			run(ctx)
@@ -193,7 +194,6 @@
 		})
 	}
 	group.Go(func() error { return untilCanceled(ctx, e.claims.Run) })
-	group.Go(func() error { return untilCanceled(ctx, e.archiver.Run) })
 }
 
 // untilCanceled drops the error that only says that the context ended.
@@ -252,6 +252,11 @@
 	}
 }
 
+// callPeer calls the peer at a configured address.
+func (e *Entry) callPeer(ctx context.Context, addr string, req *wire.Request) (*wire.Response, error) {
+	return e.peers.Call(ctx, e.settings.reach(addr), req)
+}
+
 func (e *Entry) currentView() *view { return e.view.Load() }
 
 func (e *Entry) configVersion() uint64 {
--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -47,7 +47,7 @@
 		return notRun(ReasonLinkBudget, "the byte budget to region %s is used up", region)
 	}
 	started := time.Now()
-	res, err := e.peers.Call(ctx, o.entry.PeerAddr, &wire.Request{Call: &wire.Request_Forward{
+	res, err := e.callPeer(ctx, o.entry.PeerAddr, &wire.Request{Call: &wire.Request_Forward{
 		Forward: forwardMessage(req, o, left),
 	}})
 	rep := e.forwardResult(req, o, res, err)
@@ -89,9 +89,7 @@
 // that proves that the peer cannot have handled the request counts as not run.
 func (e *Entry) forwardResult(req *request, o forwardOptions, res *wire.Response, err error) reply {
 	if errors.Is(err, peer.ErrRefused) || errors.Is(err, peer.ErrNotSent) {
-		e.membershipUpdate(func() {
-			e.members.HandleFailure(time.Now(), o.entry.ID, errors.Is(err, peer.ErrRefused))
-		})
+		e.noteFailure(o.entry.ID, err)
 		return notRun(reasonPeerUnreachable, "entry instance %s cannot be reached: %v", o.entry.ID, err)
 	}
 	if err != nil {
--- a/pkg/entry/heartbeat.go
+++ b/pkg/entry/heartbeat.go
@@ -75,13 +75,11 @@
 func (e *Entry) sendHeartbeat(ctx context.Context, target config.EntryInstance) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	res, err := e.peers.Call(ctx, target.PeerAddr, &wire.Request{Call: &wire.Request_Heartbeat{
+	res, err := e.callPeer(ctx, target.PeerAddr, &wire.Request{Call: &wire.Request_Heartbeat{
 		Heartbeat: e.heartbeat(target.ID),
 	}})
 	if err != nil {
-		e.membershipUpdate(func() {
-			e.members.HandleFailure(time.Now(), target.ID, errors.Is(err, peer.ErrRefused))
-		})
+		e.noteFailure(target.ID, err)
 		return
 	}
 	if hb := res.GetHeartbeat(); hb != nil {
@@ -89,6 +87,17 @@
 	}
 }
 
+// noteFailure records a failed call to a peer. A call that was not tried
+// because a dial failed a moment ago says nothing new.
+func (e *Entry) noteFailure(peerID string, err error) {
+	if errors.Is(err, peer.ErrBackoff) {
+		return
+	}
+	e.membershipUpdate(func() {
+		e.members.HandleFailure(time.Now(), peerID, errors.Is(err, peer.ErrRefused))
+	})
+}
+
 // heartbeat is what this entry instance says of itself to one peer.
 func (e *Entry) heartbeat(to string) *wire.Heartbeat {
 	hb := &wire.Heartbeat{
--- /dev/null
+++ b/pkg/entry/limits.go
@@ -0,0 +1,196 @@
+package entry
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/dandelionrack/dandelionrack/pkg/budget"
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/shift"
+)
+
+// limits holds the limits of the contracts as far as they concern this seat.
+// The pure packages behind it are not safe for concurrent use.
+type limits struct {
+	mu      sync.Mutex
+	shift   *shift.Limiter
+	links   *budget.LinkBudget
+	rates   map[shift.Key]*rateLimit
+	retries map[shift.Key]*retryLimit
+}
+
+type rateLimit struct {
+	perSecond float64
+	seats     int
+	limiter   *budget.RateLimiter
+}
+
+type retryLimit struct {
+	ratio  float64
+	budget *budget.RetryBudget
+}
+
+func newLimits(start time.Time, noPredecessor bool) *limits {
+	return &limits{
+		shift:   shift.NewLimiter(shift.Config{Start: start, NoPredecessor: noPredecessor}),
+		links:   budget.NewLinkBudget(),
+		rates:   map[shift.Key]*rateLimit{},
+		retries: map[shift.Key]*retryLimit{},
+	}
+}
+
+// applyLimits derives this seat's part of every limit from the configuration.
+// Limits that did not change keep their counts.
+func (e *Entry) applyLimits(v *view, now time.Time) {
+	l := e.limits
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	seats := len(v.entries)
+	l.shift.SetSeat(seatIndex(v, e.settings.ID), seats)
+	for customer, contract := range v.doc.Contracts {
+		for i := range contract.Services {
+			l.applyService(shift.Key{Customer: customer, Service: contract.Services[i].Name}, &contract.Services[i], seats)
+		}
+	}
+	for _, region := range v.doc.Deployment.Regions {
+		if region.Name == v.region {
+			continue
+		}
+		rate := budget.LinkRate(v.linkBits(v.region, region.Name), v.seatsOfRegion(v.region))
+		l.links.SetRate(now, budget.LinkPair{From: v.region, To: region.Name}, rate)
+	}
+}
+
+func (l *limits) applyService(key shift.Key, svc *config.Service, seats int) {
+	l.shift.SetCap(key, svc.ShiftCap.PerWindow()/float64(max(seats, 1)), svc.ShiftCap.Window.Std())
+	if r := l.rates[key]; r == nil || r.perSecond != svc.RatePerSecond || r.seats != seats {
+		l.rates[key] = &rateLimit{svc.RatePerSecond, seats, budget.NewRateLimiter(svc.RatePerSecond, seats)}
+	}
+	if r := l.retries[key]; r == nil || r.ratio != svc.RetryRatio {
+		l.retries[key] = &retryLimit{svc.RetryRatio, budget.NewRetryBudget(svc.RetryRatio)}
+	}
+}
+
+// seatIndex is the place of a seat in the sorted list of configured seats.
+func seatIndex(v *view, id string) int {
+	ids := make([]string, 0, len(v.entries))
+	for other := range v.entries {
+		ids = append(ids, other)
+	}
+	slices.Sort(ids)
+	return max(slices.Index(ids, id), 0)
+}
+
+func (r *request) limitKey() shift.Key {
+	return shift.Key{Customer: r.contract.Customer, Service: r.service.Name}
+}
+
+// allowRate counts a request against the contract's rate.
+func (e *Entry) allowRate(key shift.Key, now time.Time) bool {
+	e.limits.mu.Lock()
+	defer e.limits.mu.Unlock()
+	r := e.limits.rates[key]
+	return r == nil || r.limiter.Allow(now)
+}
+
+// countRequest and allowRetry keep the retry budget of a service.
+func (e *Entry) countRequest(req *request) {
+	e.limits.mu.Lock()
+	defer e.limits.mu.Unlock()
+	if r := e.limits.retries[req.limitKey()]; r != nil {
+		r.budget.Request(time.Now())
+	}
+}
+
+func (e *Entry) allowRetry(req *request) bool {
+	e.limits.mu.Lock()
+	defer e.limits.mu.Unlock()
+	r := e.limits.retries[req.limitKey()]
+	if r == nil || !r.budget.Retry(time.Now()) {
+		e.metrics.retriesDenied.Add(1)
+		return false
+	}
+	return true
+}
+
+// shiftReservation is a request counted against the shift cap.
+type shiftReservation struct {
+	limits *limits
+	inner  shift.Reservation
+}
+
+func (e *Entry) reserveShift(req *request, region string) (*shiftReservation, bool) {
+	e.limits.mu.Lock()
+	defer e.limits.mu.Unlock()
+	r, ok := e.limits.shift.Reserve(time.Now(), req.limitKey(), req.homeRegion, region)
+	if !ok {
+		return nil, false
+	}
+	return &shiftReservation{limits: e.limits, inner: r}, true
+}
+
+// end keeps the count if the region took the request, and drops it otherwise.
+func (r *shiftReservation) end(taken bool) {
+	r.limits.mu.Lock()
+	defer r.limits.mu.Unlock()
+	if taken {
+		r.inner.Commit()
+	} else {
+		r.inner.Cancel()
+	}
+}
+
+// mustStayAway names the region that a request has to go to because its
+// return home would exceed the cap, or "".
+func (e *Entry) mustStayAway(req *request) string {
+	e.limits.mu.Lock()
+	defer e.limits.mu.Unlock()
+	region, ok := e.limits.shift.MustStayAway(time.Now(), req.limitKey(), req.homeRegion)
+	if !ok {
+		return ""
+	}
+	return region
+}
+
+// responseEstimate is the size assumed for an answer until it is known.
+const responseEstimate = 2 << 10
+
+// reserveLink takes the bytes of a request out of the budget to a region. The
+// answer comes back over the same link in the other direction, whose budget
+// belongs to the region that sends it; it is counted here because the seats of
+// this region are the ones that cause it.
+func (e *Entry) reserveLink(region string, req *request) (budget.LinkReservation, bool) {
+	if region == req.view.region {
+		return budget.LinkReservation{}, true
+	}
+	e.limits.mu.Lock()
+	defer e.limits.mu.Unlock()
+	return e.limits.links.Reserve(time.Now(), budget.LinkPair{From: req.view.region, To: region}, len(req.body)+responseEstimate)
+}
+
+func (e *Entry) settleLink(region string, r budget.LinkReservation, req *request, rep reply) {
+	if region == req.view.region {
+		return
+	}
+	e.limits.mu.Lock()
+	defer e.limits.mu.Unlock()
+	e.limits.links.Settle(time.Now(), r, max(len(req.body), len(rep.body))+responseEstimate)
+}
+
+// linkDelay is the configured one-way delay to another region.
+func (e *Entry) linkDelay(v *view, region string) time.Duration {
+	return v.delay(v.region, region)
+}
+
+func (v *view) delay(a, b string) time.Duration {
+	if a == b {
+		return 0
+	}
+	for _, l := range v.doc.Deployment.Links {
+		if (l.A == a && l.B == b) || (l.A == b && l.B == a) {
+			return l.OneWayDelay.Std()
+		}
+	}
+	return 0
+}
--- a/pkg/entry/local.go
+++ b/pkg/entry/local.go
@@ -64,7 +64,7 @@
 	started := time.Now()
 	answer, err := e.backends.Do(ctx, backend.Call{
 		Server:           server.ID,
-		Addr:             server.Addr,
+		Addr:             e.settings.reach(server.Addr),
 		MaxConnections:   e.connectionShare(req.view, server),
 		Method:           req.method,
 		Path:             req.path,
@@ -80,6 +80,9 @@
 	} else {
 		s.release(time.Time{})
 	}
+	if waited > time.Millisecond {
+		e.span(req, trace.Span{Kind: "queue", Attempt: int(attempt), BackendServer: server.ID, DurationUS: waited.Microseconds()})
+	}
 	e.span(req, trace.Span{
 		Kind:          "backend",
 		Attempt:       int(attempt),
@@ -87,7 +90,6 @@
 		Reason:        string(rep.reason),
 		Outcome:       outcomeName(rep.outcome),
 		DurationUS:    time.Since(started).Microseconds(),
-		QueueUS:       waited.Microseconds(),
 	})
 	return rep
 }
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -20,12 +20,14 @@
 	storeErrors        expvar.Int
 	configVersion      expvar.Int
 	refusals, outcomes expvar.Map
+	routeExclusions    expvar.Map
 }
 
 func newMetrics() *metrics {
 	m := &metrics{root: new(expvar.Map).Init()}
 	m.refusals.Init()
 	m.outcomes.Init()
+	m.routeExclusions.Init()
 	for name, v := range map[string]expvar.Var{
 		"requests":           &m.requests,
 		"lookups":            &m.lookups,
@@ -39,6 +41,7 @@
 		"config_version":     &m.configVersion,
 		"refusals":           &m.refusals,
 		"outcomes":           &m.outcomes,
+		"route_exclusions":   &m.routeExclusions,
 	} {
 		m.root.Set(name, v)
 	}
--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -90,7 +90,7 @@
 
 // lookupClaim answers from the table service when the owner cannot be reached.
 func (e *Entry) lookupClaim(ctx context.Context, req *request, owner claim.Incarnation) reply {
-	d := e.claims.Lookup(ctx, req.claimID(), req.fingerprint())
+	d := e.claims.Lookup(ctx, req.claimID())
 	if d.Verdict == claim.Recorded || d.Verdict == claim.NotRun {
 		return e.claimReply(req, d)
 	}
--- /dev/null
+++ b/pkg/entry/operator.go
@@ -0,0 +1,365 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/dandelionrack/dandelionrack/pkg/admission"
+	"github.com/dandelionrack/dandelionrack/pkg/burn"
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/operator"
+	"github.com/dandelionrack/dandelionrack/pkg/platform"
+	"github.com/dandelionrack/dandelionrack/pkg/trace"
+	"github.com/dandelionrack/dandelionrack/pkg/wire"
+)
+
+// askTimeout bounds the calls that collect a report from all peers.
+const askTimeout = 2 * time.Second
+
+// maxUnresolved bounds the list of unresolved claims in one report.
+const maxUnresolved = 1000
+
+func (e *Entry) operatorRoutes() []rest.Route {
+	routes := operator.Routes(e, e.settings.OperatorToken)
+	return append(routes, rest.Route{Method: http.MethodGet, Path: "/debug/vars", Handler: e.handleVars})
+}
+
+// handleVars writes the counters in the format of expvar. They hold no secret
+// and are open, as monitoring expects.
+func (e *Entry) handleVars(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	servers, _ := json.Marshal(e.serverStatus())
+	_, _ = fmt.Fprintf(w, "{\n\"dandelionrack\": %s,\n\"servers\": %s", e.metrics.root.String(), servers)
+	expvar.Do(func(kv expvar.KeyValue) {
+		_, _ = fmt.Fprintf(w, ",\n%q: %s", kv.Key, kv.Value)
+	})
+	_, _ = fmt.Fprint(w, "\n}\n")
+}
+
+func (e *Entry) serverStatus() []admission.ServerStatus {
+	var out []admission.ServerStatus
+	e.gate.read(func(ctl *admission.Controller, now time.Time) { out = ctl.Snapshot(now) })
+	return out
+}
+
+// SubmitChange implements operator.Backend.
+func (e *Entry) SubmitChange(ctx context.Context, ch config.Change, op config.Operation) (*config.Document, error) {
+	doc, err := e.store.Submit(ctx, ch, op)
+	if err != nil {
+		return nil, err
+	}
+	e.adopt(doc, "operator")
+	e.pushConfig(doc)
+	return doc, nil
+}
+
+// Document implements operator.Backend.
+func (e *Entry) Document() *config.Document { return e.holder.Current() }
+
+// History implements operator.Backend.
+func (e *Entry) History(ctx context.Context, n int) ([]config.HistoryEntry, error) {
+	return e.store.History(ctx, n)
+}
+
+// askAll calls every peer and returns the ids of those that did not answer.
+func (e *Entry) askAll(ctx context.Context, req *wire.Request, take func(from string, res *wire.Response)) []string {
+	v := e.currentView()
+	if v == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var missing []string
+	var wg sync.WaitGroup
+	for _, target := range v.doc.Deployment.EntryInstances {
+		if target.ID == e.settings.ID {
+			continue
+		}
+		wg.Go(func() {
+			res, err := e.callPeer(ctx, target.PeerAddr, &wire.Request{Call: req.GetCall()})
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil || res.GetError() != "" {
+				missing = append(missing, target.ID)
+				return
+			}
+			take(target.ID, res)
+		})
+	}
+	wg.Wait()
+	return missing
+}
+
+// DrainStatus implements operator.Backend.
+func (e *Entry) DrainStatus(ctx context.Context, server string) (operator.DrainStatus, error) {
+	v := e.currentView()
+	if v == nil {
+		return operator.DrainStatus{}, errors.New("no configuration known yet")
+	}
+	if _, ok := v.servers[server]; !ok {
+		return operator.DrainStatus{}, &config.NotFoundError{Object: "backend server " + server}
+	}
+	own, ok := e.statusOf(server)
+	out := operator.DrainStatus{Server: server, InFlight: map[string]int{}}
+	if ok {
+		mergeStatus(&out, e.settings.ID, own)
+	}
+	out.Unreachable = e.askAll(ctx, &wire.Request{Call: &wire.Request_StatusQuery{
+		StatusQuery: &wire.StatusQuery{BackendServer: server},
+	}}, func(from string, res *wire.Response) {
+		var st admission.ServerStatus
+		if json.Unmarshal(res.GetStatus().GetStatus(), &st) == nil && st.ID == server {
+			mergeStatus(&out, from, st)
+		}
+	})
+	if drain, ok := v.doc.Drains[server]; ok {
+		out.Draining = true
+		out.Since = drain.StartedAt
+	}
+	return out, nil
+}
+
+// mergeStatus adds one seat's view of a server. The server is idle since the
+// last of its seats became idle.
+func mergeStatus(out *operator.DrainStatus, entry string, st admission.ServerStatus) {
+	if st.Share == 0 && st.Lent == 0 && st.InFlight+st.Held == 0 {
+		return
+	}
+	out.InFlight[entry] = st.InFlight + st.Held
+	out.Draining = out.Draining || st.Leaving
+	if out.Since.IsZero() || (!st.LeavingSince.IsZero() && st.LeavingSince.Before(out.Since)) {
+		out.Since = st.LeavingSince
+	}
+	if st.IdleSince.After(out.IdleSince) {
+		out.IdleSince = st.IdleSince
+	}
+}
+
+func (e *Entry) statusOf(server string) (admission.ServerStatus, bool) {
+	for _, st := range e.serverStatus() {
+		if st.ID == server {
+			return st, true
+		}
+	}
+	return admission.ServerStatus{}, false
+}
+
+func (e *Entry) handleStatusQuery(q *wire.StatusQuery) *wire.Response {
+	st, _ := e.statusOf(q.GetBackendServer())
+	data, err := json.Marshal(st)
+	if err != nil {
+		return &wire.Response{Error: err.Error()}
+	}
+	return &wire.Response{Reply: &wire.Response_Status{Status: &wire.StatusReply{Status: data}}}
+}
+
+// Trace implements operator.Backend. It reads the rings of all reachable entry
+// instances and the archive, since instances keep nothing.
+func (e *Entry) Trace(ctx context.Context, requestID string) (operator.TraceReport, error) {
+	spans := e.spans.Get(requestID)
+	missing := e.askAll(ctx, &wire.Request{Call: &wire.Request_TraceQuery{
+		TraceQuery: &wire.TraceQuery{RequestId: requestID},
+	}}, func(_ string, res *wire.Response) {
+		var more []trace.Span
+		if json.Unmarshal(res.GetTrace().GetSpans(), &more) == nil {
+			spans = append(spans, more...)
+		}
+	})
+	archived, err := trace.Find(ctx, e.platform, requestID)
+	if err != nil {
+		missing = append(missing, "archive: "+err.Error())
+	}
+	spans = trace.Sort(append(spans, archived...))
+	out := operator.TraceReport{RequestID: requestID, Incomplete: missing}
+	for _, s := range spans {
+		out.Spans = append(out.Spans, operatorSpan(s))
+	}
+	return out, nil
+}
+
+func operatorSpan(s trace.Span) operator.Span {
+	return operator.Span{
+		At:              s.At,
+		Entry:           s.Entry,
+		FailureDomain:   s.FailureDomain,
+		Kind:            s.Kind,
+		Attempt:         s.Attempt,
+		Customer:        s.Customer,
+		Service:         s.Service,
+		ContractVersion: s.ContractVersion,
+		ConfigVersion:   s.ConfigVersion,
+		BackendServer:   s.BackendServer,
+		Peer:            s.Peer,
+		Reason:          s.Reason,
+		Outcome:         s.Outcome,
+		DurationUS:      s.DurationUS,
+	}
+}
+
+func (e *Entry) handleTraceQuery(q *wire.TraceQuery) *wire.Response {
+	data, err := json.Marshal(e.spans.Get(q.GetRequestId()))
+	if err != nil {
+		return &wire.Response{Error: err.Error()}
+	}
+	return &wire.Response{Reply: &wire.Response_Trace{Trace: &wire.TraceReply{Spans: data}}}
+}
+
+// Burn implements operator.Backend.
+func (e *Entry) Burn(ctx context.Context) (operator.BurnReport, error) {
+	snapshots := []burn.Snapshot{e.burn.Snapshot(time.Now())}
+	missing := e.askAll(ctx, &wire.Request{Call: &wire.Request_BurnQuery{BurnQuery: &wire.BurnQuery{}}},
+		func(_ string, res *wire.Response) {
+			var s burn.Snapshot
+			if json.Unmarshal(res.GetBurn().GetCounts(), &s) == nil {
+				snapshots = append(snapshots, s)
+			}
+		})
+	doc := e.holder.Current()
+	if doc == nil {
+		return operator.BurnReport{}, errors.New("no configuration known yet")
+	}
+	return burnReport(burn.Report(burn.Merge(snapshots...), doc), doc, missing), nil
+}
+
+func (e *Entry) handleBurnQuery() *wire.Response {
+	data, err := json.Marshal(e.burn.Snapshot(time.Now()))
+	if err != nil {
+		return &wire.Response{Error: err.Error()}
+	}
+	return &wire.Response{Reply: &wire.Response_Burn{Burn: &wire.BurnReply{Counts: data}}}
+}
+
+func burnReport(r burn.Result, doc *config.Document, missing []string) operator.BurnReport {
+	out := operator.BurnReport{Unreachable: missing}
+	for _, s := range r.Services {
+		row := operator.ServiceBurn{Customer: s.Customer, Service: s.Service}
+		if contract, ok := doc.Contracts[s.Customer]; ok {
+			if svc, ok := contract.FindService(s.Service); ok {
+				row.Objective = svc.Objective
+			}
+		}
+		for _, w := range s.Windows {
+			row.Windows = append(row.Windows, windowBurn(w))
+		}
+		out.Services = append(out.Services, row)
+	}
+	return out
+}
+
+func windowBurn(w burn.WindowBurn) operator.WindowBurn {
+	out := operator.WindowBurn{Total: float64(w.Good + w.Bad), Bad: float64(w.Bad)}
+	if length, err := time.ParseDuration(string(w.Window)); err == nil {
+		out.Window = config.Duration(length)
+	}
+	if w.BurnRate != nil {
+		out.Burn = *w.BurnRate
+	}
+	return out
+}
+
+// Routes implements operator.Backend.
+func (e *Entry) Routes(context.Context) (operator.RoutesReport, error) {
+	v := e.currentView()
+	if v == nil {
+		return operator.RoutesReport{Entry: e.settings.ID}, nil
+	}
+	out := operator.RoutesReport{Entry: e.settings.ID, ConfigVersion: v.doc.Version}
+	e.membersMu.Lock()
+	for _, in := range v.doc.Deployment.EntryInstances {
+		st := e.members.Peer(in.ID)
+		out.Entries = append(out.Entries, operator.EntryRoute{
+			ID:            in.ID,
+			FailureDomain: in.FailureDomain,
+			Region:        v.regions[in.FailureDomain],
+			State:         string(st.State),
+			FreeSlots:     st.Free,
+		})
+	}
+	e.membersMu.Unlock()
+	for i := range out.Entries {
+		if out.Entries[i].ID == e.settings.ID {
+			out.Entries[i].State = string(stateFromWire(e.state()))
+		}
+	}
+	for _, st := range e.serverStatus() {
+		out.Servers = append(out.Servers, serverRoute(v, st))
+	}
+	return out, nil
+}
+
+func serverRoute(v *view, st admission.ServerStatus) operator.ServerRoute {
+	s := v.servers[st.ID]
+	state := "in use"
+	if st.Leaving {
+		state = "leaving"
+	} else if st.Usable < st.Share {
+		state = "starting"
+	}
+	return operator.ServerRoute{
+		ID:            st.ID,
+		FailureDomain: s.FailureDomain,
+		Services:      st.Services,
+		State:         state,
+		Slots:         s.Slots,
+		Share:         st.Share + st.Lent,
+		FreeSlots:     max(st.Usable-st.InFlight-st.Held, 0),
+	}
+}
+
+// Unresolved implements operator.Backend.
+func (e *Entry) Unresolved(ctx context.Context) ([]operator.UnresolvedClaim, error) {
+	list, err := e.claims.Unresolved(ctx, maxUnresolved)
+	out := make([]operator.UnresolvedClaim, 0, len(list))
+	for _, u := range list {
+		out = append(out, operator.UnresolvedClaim{
+			Customer:    u.ID.Customer,
+			Service:     u.ID.Service,
+			Key:         u.ID.Key,
+			Entry:       u.Owner.Entry,
+			Incarnation: strconv.FormatUint(u.Owner.Number, 16),
+			ClaimedAt:   u.KeyCreated,
+			State:       u.State,
+			Detail:      u.Detail,
+		})
+	}
+	return out, err
+}
+
+// Status implements operator.Backend.
+func (e *Entry) Status(ctx context.Context) (operator.EntryStatus, error) {
+	_, err := e.platform.Instances(ctx)
+	out := operator.EntryStatus{
+		Entry:         e.settings.ID,
+		FailureDomain: e.settings.FailureDomain,
+		Incarnation:   strconv.FormatUint(e.self.Number, 16),
+		State:         string(stateFromWire(e.state())),
+		ConfigVersion: e.configVersion(),
+		StartedAt:     e.started,
+		StoreOK:       !errors.Is(err, platform.ErrUnavailable) && err == nil,
+		FreeSlots:     map[string]int{},
+	}
+	e.membersMu.Lock()
+	for _, st := range e.members.Peers(time.Now()) {
+		out.Peers = append(out.Peers, operator.PeerStatus{ID: st.Entry, State: string(st.State), ConfigVersion: st.ConfigVersion})
+	}
+	e.membersMu.Unlock()
+	if v := e.currentView(); v != nil {
+		out.Region = v.region
+		e.gate.read(func(ctl *admission.Controller, now time.Time) {
+			for service := range v.byService {
+				out.FreeSlots[service] = ctl.Free(now, service)
+			}
+		})
+	}
+	return out, nil
+}
--- a/pkg/entry/servers.go
+++ b/pkg/entry/servers.go
@@ -28,7 +28,7 @@
 		share := 0
 		if s.FailureDomain == e.settings.FailureDomain {
 			share = admission.Share(s.Slots, s.ID, v.seats[s.FailureDomain], e.settings.ID)
-			e.backends.Configure(s.ID, s.Addr, e.connectionShare(v, s))
+			e.backends.Configure(s.ID, e.settings.reach(s.Addr), e.connectionShare(v, s))
 		}
 		servers = append(servers, admission.Server{
 			ID:         s.ID,
@@ -51,7 +51,7 @@
 	if s.FailureDomain == e.settings.FailureDomain {
 		return true
 	}
-	return v.regions[s.FailureDomain] == e.region && len(v.seats[s.FailureDomain]) == 1
+	return v.regions[s.FailureDomain] == v.region && len(v.seats[s.FailureDomain]) == 1
 }
 
 // connectionShare splits the connections of a server over the seats of its
@@ -260,11 +260,11 @@
 }
 
 // pollTargets are the servers of this instance's own failure domain.
-func pollTargets(v *view, failureDomain string) []backend.Target {
+func (e *Entry) pollTargets(v *view) []backend.Target {
 	var out []backend.Target
 	for _, s := range v.doc.Deployment.BackendServers {
-		if s.FailureDomain == failureDomain {
-			out = append(out, backend.Target{Server: s.ID, Addr: s.Addr})
+		if s.FailureDomain == e.settings.FailureDomain {
+			out = append(out, backend.Target{Server: s.ID, Addr: e.settings.reach(s.Addr)})
 		}
 	}
 	return out
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -5,6 +5,8 @@
 	"net/url"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/findings"
 )
@@ -39,9 +41,15 @@
 	MaxCallerConnections int `json:"max_caller_connections,omitempty"`
 	// AllowClientAddress lets a lookup name the caller's address in the query,
 	// for callers behind a common address.
-	AllowClientAddress bool      `json:"allow_client_address,omitempty"`
-	LogLevel           string    `json:"log_level,omitempty"`
-	TLS                *TLSFiles `json:"tls,omitempty"`
+	AllowClientAddress bool `json:"allow_client_address,omitempty"`
+	// AddressMap replaces addresses of peers and backend servers by the ones
+	// through which they are reached from here, for address translation
+	// between failure domains.
+	AddressMap map[string]string `json:"address_map,omitempty"`
+	LogLevel   string            `json:"log_level,omitempty"`
+	// LogFormat is "text" or "json".
+	LogFormat string    `json:"log_format,omitempty"`
+	TLS       *TLSFiles `json:"tls,omitempty"`
 }
 
 // TLSFiles names the certificate and key of the operator listener.
@@ -50,6 +58,12 @@
 	KeyFile  string `json:"key_file"`
 }
 
+// Formats of log lines.
+const (
+	LogFormatText = "text"
+	LogFormatJSON = "json"
+)
+
 // Defaults of optional settings.
 const (
 	defaultLookupTTL            = 5 * time.Second
@@ -98,6 +112,17 @@
 			l.Add(indexPath("seeds", i), "must be IP:port, got %q", seed)
 		}
 	}
+	for from, to := range s.AddressMap {
+		if !validHostPort(from) || !validHostPort(to) {
+			l.Add("address_map", "must map IP:port to IP:port, got %q to %q", from, to)
+		}
+	}
+	if s.LogFormat != "" && s.LogFormat != LogFormatText && s.LogFormat != LogFormatJSON {
+		l.Add("log_format", "must be %q or %q, got %q", LogFormatText, LogFormatJSON, s.LogFormat)
+	}
+	if s.LogLevel != "" && hclog.LevelFromString(s.LogLevel) == hclog.NoLevel {
+		l.Add("log_level", "must be trace, debug, info, warn or error, got %q", s.LogLevel)
+	}
 	checkSizes(l, s)
 	if s.TLS != nil && (s.TLS.CertFile == "" || s.TLS.KeyFile == "") {
 		l.Add("tls", "needs both cert_file and key_file")
@@ -151,3 +176,11 @@
 	host, port, err := net.SplitHostPort(addr)
 	return err == nil && net.ParseIP(host) != nil && port != ""
 }
+
+// reach returns the address through which a configured address is reached.
+func (s *Settings) reach(addr string) string {
+	if mapped, ok := s.AddressMap[addr]; ok {
+		return mapped
+	}
+	return addr
+}
--- /dev/null
+++ b/pkg/entry/steer.go
@@ -0,0 +1,237 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/dandelionrack/dandelionrack/pkg/admission"
+	"github.com/dandelionrack/dandelionrack/pkg/membership"
+	"github.com/dandelionrack/dandelionrack/pkg/routing"
+	"github.com/dandelionrack/dandelionrack/pkg/trace"
+	"github.com/dandelionrack/dandelionrack/pkg/wire"
+)
+
+const (
+	// maxAttempts bounds how often a request reaches a backend server.
+	maxAttempts = 3
+	// maxPlaces bounds how many entry instances one attempt asks for a slot.
+	maxPlaces = 5
+	// regionReserve is how many free slots another region must report before
+	// it gets a request from here, so that its own callers find room.
+	regionReserve = 2
+)
+
+// steering is the search for an answer to one request.
+type steering struct {
+	e       *Entry
+	req     *request
+	attempt uint32
+	// excludeServers failed this request already.
+	excludeServers []string
+}
+
+// steer sends a request to a backend server and tries others while that is
+// safe and within the retry budget.
+//
+// A request that must run at most once is tried again only after a reply that
+// proves that it did not run.
+func (e *Entry) steer(ctx context.Context, req *request) reply {
+	e.countRequest(req)
+	s := &steering{e: e, req: req}
+	for {
+		rep := s.try(ctx)
+		if !s.mayRetry(ctx, rep) {
+			return rep
+		}
+		s.excludeServers = append(s.excludeServers, rep.server)
+		e.metrics.retries.Add(1)
+	}
+}
+
+// mayRetry reports whether another attempt is safe and allowed. A reply
+// without a backend server means that no slot was found; the search was
+// complete then.
+func (s *steering) mayRetry(ctx context.Context, rep reply) bool {
+	if rep.answered() || rep.server == "" || s.attempt >= maxAttempts {
+		return false
+	}
+	if rep.outcome == wire.Outcome_OUTCOME_UNKNOWN && !s.req.service.Idempotent {
+		return false
+	}
+	if ctx.Err() != nil || s.req.timeLeft(time.Now()) <= 0 {
+		return false
+	}
+	return s.e.allowRetry(s.req)
+}
+
+// try looks for a free slot at the planned places, then waits for one.
+func (s *steering) try(ctx context.Context) reply {
+	s.attempt++
+	plan := s.plan()
+	if len(plan) == 0 {
+		return s.wait(ctx, notRun(ReasonNoBackendServer, "no entry instance can take a request for service %s", s.req.service.Name))
+	}
+	var last reply
+	for _, c := range plan[:min(len(plan), maxPlaces)] {
+		last = s.tryPlace(ctx, c, true)
+		if !last.isNotRun() || last.server != "" {
+			return last
+		}
+	}
+	return s.wait(ctx, last)
+}
+
+// wait queues the request where it would be served best. refused is the reply
+// if there is no place to wait.
+func (s *steering) wait(ctx context.Context, refused reply) reply {
+	place, ok := s.waitingPlace()
+	if !ok {
+		return refused
+	}
+	rep := s.tryPlace(ctx, place, false)
+	if rep.isNotRun() && rep.reason == reasonPeerUnreachable {
+		return notRun(ReasonOverload, "no entry instance with a slot could be reached")
+	}
+	return rep
+}
+
+// waitingPlace is the first place of the routing order that has servers of the
+// service, whatever its free slots.
+func (s *steering) waitingPlace() (routing.Candidate, bool) {
+	in := s.input()
+	for i := range in.Peers {
+		// A peer without a free slot has a queue as well.
+		in.Peers[i].Free = max(in.Peers[i].Free, 1)
+	}
+	in.RegionReserve = 0
+	for _, c := range routing.Candidates(in) {
+		if s.hasServers(c.FailureDomain) {
+			return c, true
+		}
+	}
+	return routing.Candidate{}, false
+}
+
+// hasServers reports whether a failure domain has servers of the service.
+func (s *steering) hasServers(failureDomain string) bool {
+	for _, server := range s.req.view.byService[s.req.service.Name] {
+		if server.FailureDomain == failureDomain && !slices.Contains(s.excludeServers, server.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// plan returns the places to ask for a free slot, best first.
+func (s *steering) plan() []routing.Candidate {
+	candidates, excluded := routing.Plan(s.input())
+	for _, x := range excluded {
+		s.e.metrics.routeExclusions.Add(x.Reason, 1)
+	}
+	out := candidates[:0]
+	for _, c := range candidates {
+		if c.Local && c.Free == 0 {
+			continue
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+func (s *steering) input() routing.Input {
+	e, v, req := s.e, s.req.view, s.req
+	now := time.Now()
+	free := 0
+	e.gate.read(func(ctl *admission.Controller, now time.Time) {
+		free = ctl.Free(now, req.service.Name)
+	})
+	return routing.Input{
+		Self:           routing.Self{Entry: e.settings.ID, FailureDomain: e.settings.FailureDomain, Region: v.region},
+		Service:        req.service.Name,
+		HomeRegion:     req.homeRegion,
+		AllowedRegions: req.service.Regions,
+		OnlyRegion:     e.mustStayAway(req),
+		Peers:          e.routingPeers(v, req.service.Name, now),
+		LocalFree:      free,
+		Delay:          v.delay,
+		Permitted:      func(region string) bool { return e.shiftPermits(req, region) },
+		Left:           req.timeLeft(now),
+		RegionReserve:  regionReserve,
+		Rand:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+// shiftPermits asks the cap without counting.
+func (e *Entry) shiftPermits(req *request, region string) bool {
+	r, ok := e.reserveShift(req, region)
+	if ok {
+		r.end(false)
+	}
+	return ok
+}
+
+// tryPlace asks one entry instance, this one or a peer, for a slot.
+func (s *steering) tryPlace(ctx context.Context, c routing.Candidate, noQueue bool) reply {
+	reservation, ok := s.e.reserveShift(s.req, c.Region)
+	if !ok {
+		s.e.span(s.req, trace.Span{Kind: "skip", Attempt: int(s.attempt), Peer: c.Entry, Reason: string(ReasonShiftCap)})
+		return notRun(ReasonShiftCap, "the shift cap keeps requests of home region %s out of region %s for now", s.req.homeRegion, c.Region)
+	}
+	var rep reply
+	if c.Local {
+		rep = s.e.admitAndCall(ctx, s.req, admitOptions{
+			attempt: s.attempt,
+			noQueue: noQueue,
+			exclude: s.excludeServers,
+		})
+	} else {
+		rep = s.e.forward(ctx, s.req, forwardOptions{
+			entry:   s.req.view.entries[c.Entry],
+			attempt: s.attempt,
+			noQueue: noQueue,
+			exclude: s.excludeServers,
+		})
+	}
+	reservation.end(!rep.isNotRun())
+	return rep
+}
+
+// routingPeers describes the other entry instances as routing needs them.
+func (e *Entry) routingPeers(v *view, service string, now time.Time) []routing.Peer {
+	e.membersMu.Lock()
+	statuses := e.members.Peers(now)
+	e.membersMu.Unlock()
+	out := make([]routing.Peer, 0, len(statuses))
+	for _, st := range statuses {
+		in, ok := v.entries[st.Entry]
+		if !ok {
+			continue
+		}
+		out = append(out, routing.Peer{
+			Entry:         st.Entry,
+			FailureDomain: in.FailureDomain,
+			Region:        v.regions[in.FailureDomain],
+			Free:          st.Free[service],
+			Age:           now.Sub(st.LastHeard),
+			State:         routingState(st.State),
+		})
+	}
+	return out
+}
+
+func routingState(s membership.State) routing.State {
+	switch s {
+	case membership.StateReady:
+		return routing.StateReady
+	case membership.StateLeaving:
+		return routing.StateLeaving
+	case membership.StateGone:
+		return routing.StateGone
+	case membership.StateSilent:
+		return routing.StateSilent
+	default:
+		return routing.StateNotReady
+	}
+}
--- a/pkg/entry/stop.go
+++ b/pkg/entry/stop.go
@@ -85,7 +85,7 @@
 		calls++
 		go func() {
 			defer func() { done <- struct{}{} }()
-			_, err := e.peers.Call(ctx, target.PeerAddr, &wire.Request{Call: &wire.Request_Leave{
+			_, err := e.callPeer(ctx, target.PeerAddr, &wire.Request{Call: &wire.Request_Leave{
 				Leave: &wire.Leave{Clean: clean},
 			}})
 			if err != nil {
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -15,6 +15,7 @@
 // It is immutable, so that a request sees one version from start to end.
 type view struct {
 	doc       *config.Document
+	region    string // region of this entry instance
 	locator   *lookup.Table
 	customers map[string]string // customer by token digest
 	entries   map[string]config.EntryInstance
@@ -24,13 +25,14 @@
 	byService map[string][]config.BackendServer
 }
 
-func newView(doc *config.Document) (*view, error) {
+func newView(doc *config.Document, failureDomain string) (*view, error) {
 	locator, err := lookup.Build(&doc.Deployment)
 	if err != nil {
 		return nil, errors.Wrap(err, "client blocks")
 	}
 	v := &view{
 		doc:       doc,
+		region:    doc.Deployment.RegionOf(failureDomain),
 		locator:   locator,
 		customers: map[string]string{},
 		entries:   map[string]config.EntryInstance{},
