--- /dev/null
+++ b/cmd/drctl/report.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/dandelionrack/dandelionrack/pkg/operator"
+)
+
+type traceCmd struct {
+	Request string `arg:"" help:"Request id, from the response header Dandelionrack-Request-Id."`
+}
+
+func (c *traceCmd) Run(s *session) error {
+	t, err := ask(s, func(ctx context.Context, cl *operator.Client) (operator.TraceReport, error) {
+		return cl.Trace(ctx, c.Request)
+	})
+	if err != nil {
+		return err
+	}
+	return s.emit(t, func(w io.Writer) {
+		row(w, "AT", "ENTRY", "KIND", "ATTEMPT", "SERVICE", "CONTRACT", "CONFIG", "TO", "REASON", "OUTCOME", "DURATION")
+		for _, p := range t.Spans {
+			row(w, stamp(p.At), p.Entry, p.Kind, p.Attempt, p.Customer+"/"+p.Service, p.ContractVersion,
+				p.ConfigVersion, p.Peer+p.BackendServer, p.Reason, p.Outcome, micros(p.DurationUS))
+		}
+		printMissing(w, "incomplete:", t.Incomplete)
+	})
+}
+
+type routesCmd struct{}
+
+func (routesCmd) Run(s *session) error {
+	r, err := ask(s, func(ctx context.Context, c *operator.Client) (operator.RoutesReport, error) {
+		return c.Routes(ctx)
+	})
+	if err != nil {
+		return err
+	}
+	return s.emit(r, func(w io.Writer) {
+		row(w, "seen by", r.Entry, fmt.Sprintf("configuration version %d", r.ConfigVersion))
+		row(w)
+		row(w, "ENTRY INSTANCE", "REGION", "FAILURE DOMAIN", "STATE", "FREE SLOTS")
+		for _, e := range r.Entries {
+			row(w, e.ID, e.Region, e.FailureDomain, e.State, counts(e.FreeSlots))
+		}
+		row(w)
+		row(w, "BACKEND SERVER", "FAILURE DOMAIN", "SERVICES", "STATE", "SLOTS", "SHARE", "FREE")
+		for _, b := range r.Servers {
+			row(w, b.ID, b.FailureDomain, strings.Join(b.Services, ","), b.State, b.Slots, b.Share, b.FreeSlots)
+		}
+	})
+}
+
+type burnCmd struct{}
+
+func (burnCmd) Run(s *session) error {
+	b, err := ask(s, func(ctx context.Context, c *operator.Client) (operator.BurnReport, error) {
+		return c.Burn(ctx)
+	})
+	if err != nil {
+		return err
+	}
+	return s.emit(b, func(w io.Writer) {
+		row(w, "CUSTOMER", "SERVICE", "OBJECTIVE", "WINDOW", "TOTAL", "BAD", "BURN")
+		for _, v := range b.Services {
+			objective := fmt.Sprintf("%v in %s", v.Objective.Availability, v.Objective.Latency.Std())
+			for _, x := range v.Windows {
+				row(w, v.Customer, v.Service, objective, x.Window.Std(), x.Total, x.Bad, fmt.Sprintf("%.2f", x.Burn))
+			}
+		}
+		printMissing(w, "not reached:", b.Unreachable)
+	})
+}
+
+type unresolvedCmd struct{}
+
+func (unresolvedCmd) Run(s *session) error {
+	claims, err := ask(s, func(ctx context.Context, c *operator.Client) ([]operator.UnresolvedClaim, error) {
+		return c.Unresolved(ctx)
+	})
+	if err != nil {
+		return err
+	}
+	return s.emit(claims, func(w io.Writer) {
+		row(w, "CLAIMED AT", "CUSTOMER", "SERVICE", "KEY", "ENTRY", "INCARNATION", "STATE", "DETAIL")
+		for _, u := range claims {
+			row(w, stamp(u.ClaimedAt), u.Customer, u.Service, u.Key, u.Entry, u.Incarnation, u.State, u.Detail)
+		}
+	})
+}
+
+type statusCmd struct{}
+
+func (statusCmd) Run(s *session) error {
+	e, err := ask(s, func(ctx context.Context, c *operator.Client) (operator.EntryStatus, error) {
+		return c.Status(ctx)
+	})
+	if err != nil {
+		return err
+	}
+	return s.emit(e, func(w io.Writer) {
+		row(w, "entry instance", e.Entry)
+		row(w, "failure domain", e.FailureDomain, e.Region)
+		row(w, "incarnation", e.Incarnation)
+		row(w, "state", e.State)
+		row(w, "configuration version", e.ConfigVersion)
+		row(w, "started at", stamp(e.StartedAt))
+		row(w, "store reachable", e.StoreOK)
+		row(w, "free slots", counts(e.FreeSlots))
+		row(w)
+		row(w, "PEER", "STATE", "CONFIGURATION VERSION")
+		for _, p := range e.Peers {
+			row(w, p.ID, p.State, p.ConfigVersion)
+		}
+	})
+}
+
+// counts prints numbers by name in name order.
+func counts(m map[string]int) string {
+	parts := make([]string, 0, len(m))
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		parts = append(parts, fmt.Sprintf("%s=%d", name, m[name]))
+	}
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/cmd/drctl/session.go
@@ -0,0 +1,227 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/findings"
+	"github.com/dandelionrack/dandelionrack/pkg/operator"
+)
+
+const (
+	// askAttempts bounds how often one server is asked when replies are lost.
+	askAttempts = 3
+	askInterval = 200 * time.Millisecond
+)
+
+// session is what a command runs with.
+type session struct {
+	cli     *cli
+	ctx     context.Context
+	stdout  io.Writer
+	stderr  io.Writer
+	clients []*operator.Client
+}
+
+func (s *session) connect() error {
+	if s.clients != nil {
+		return nil
+	}
+	if len(s.cli.Server) == 0 {
+		return errors.Wrap(errUsage, "--server is needed")
+	}
+	token, err := s.token()
+	if err != nil {
+		return err
+	}
+	for _, base := range s.cli.Server {
+		c, err := operator.NewClient(operator.ClientConfig{
+			BaseURL: base,
+			Token:   token,
+			Timeout: s.cli.Timeout,
+			CAFile:  s.cli.CAFile,
+		})
+		if err != nil {
+			return errors.Wrapf(errUsage, "--server (%v)", err)
+		}
+		s.clients = append(s.clients, c)
+	}
+	return nil
+}
+
+func (s *session) token() (string, error) {
+	if s.cli.TokenFile == "" {
+		return "", errors.Wrap(errUsage, "--token-file is needed")
+	}
+	data, err := os.ReadFile(s.cli.TokenFile)
+	if err != nil {
+		return "", errors.Wrapf(errUsage, "--token-file (%v)", err)
+	}
+	return strings.TrimSpace(string(data)), nil
+}
+
+// ask calls the first server. It goes on to the next one only when a
+// connection is refused. After a lost reply it asks the same server again,
+// which is safe for changes because f keeps the change id.
+func ask[T any](s *session, f func(ctx context.Context, c *operator.Client) (T, error)) (T, error) {
+	var out T
+	err := s.connect()
+	if err != nil {
+		return out, err
+	}
+	lost := false
+	for _, c := range s.clients {
+		out, err = askServer(s, c, f)
+		if !errors.Is(err, operator.ErrNotSent) {
+			return out, err
+		}
+		lost = lost || errors.Is(err, operator.ErrNoReply)
+	}
+	if lost {
+		return out, errors.Wrapf(operator.ErrNoReply, "no server left to ask (%v)", err)
+	}
+	return out, err
+}
+
+func askServer[T any](s *session, c *operator.Client, f func(ctx context.Context, c *operator.Client) (T, error)) (T, error) {
+	var lost error
+	for attempt := 1; ; attempt++ {
+		out, err := f(s.ctx, c)
+		switch {
+		case errors.Is(err, operator.ErrNotSent) && lost != nil:
+			// Both facts matter: another server may be asked, and the earlier
+			// request may have been handled.
+			return out, errors.Join(err, lost)
+		case !replyLost(err) || attempt == askAttempts:
+			return out, err
+		}
+		lost = errors.Wrapf(operator.ErrNoReply, "(%v)", err)
+		if s.pause(askInterval) != nil {
+			return out, lost
+		}
+	}
+}
+
+func replyLost(err error) bool {
+	var api *operator.Error
+	if errors.As(err, &api) {
+		return api.Code == operator.CodeUnknownOutcome
+	}
+	return errors.Is(err, operator.ErrNoReply)
+}
+
+func (s *session) pause(d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-s.ctx.Done():
+		return s.ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+func (s *session) document() (*config.Document, error) {
+	return ask(s, func(ctx context.Context, c *operator.Client) (*config.Document, error) {
+		return c.Document(ctx)
+	})
+}
+
+// submit makes a change under one change id, however often it is sent.
+func (s *session) submit(op config.Operation) (*config.Document, error) {
+	id := s.cli.ChangeID
+	if id == "" {
+		id = uuid.Must(uuid.NewV7()).String()
+	}
+	ch := config.Change{ID: id, Author: s.cli.Author, At: time.Now().UTC()}
+	doc, err := ask(s, func(ctx context.Context, c *operator.Client) (*config.Document, error) {
+		return c.SubmitChange(ctx, ch, op)
+	})
+	if replyLost(err) {
+		return nil, errors.Wrapf(err, "the change may have been made; run the command again with --change-id %s", id)
+	}
+	return doc, err
+}
+
+// changeResult is the output of a command that made a change.
+type changeResult struct {
+	Object   string `json:"object"`
+	ChangeID string `json:"change_id"`
+	Version  uint64 `json:"version"`
+}
+
+// change submits an operation and prints its result.
+func (s *session) change(op config.Operation) error {
+	doc, err := s.submit(op)
+	if err != nil {
+		return err
+	}
+	r := changeResult{Object: op.Object(), ChangeID: doc.Change.ID, Version: doc.Version}
+	return s.emit(r, func(w io.Writer) {
+		row(w, "accepted", r.Object, fmt.Sprintf("version %d", r.Version), "change "+r.ChangeID)
+	})
+}
+
+// emit prints a value as JSON or by its text form, in aligned columns.
+func (s *session) emit(v any, text func(w io.Writer)) error {
+	if s.cli.Output == "json" {
+		enc := json.NewEncoder(s.stdout)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	}
+	w := tabwriter.NewWriter(s.stdout, 0, 0, 2, ' ', 0)
+	text(w)
+	return w.Flush()
+}
+
+// row prints one line of a table. A write error shows when the table is
+// flushed.
+func row(w io.Writer, columns ...any) {
+	parts := make([]string, 0, len(columns))
+	for _, c := range columns {
+		parts = append(parts, fmt.Sprint(c))
+	}
+	_, _ = fmt.Fprintln(w, strings.Join(parts, "\t"))
+}
+
+// failure is the JSON form of an error.
+type failure struct {
+	Error    string                `json:"error"`
+	Exit     int                   `json:"exit_code"`
+	Findings []findings.Finding    `json:"findings,omitempty"`
+	Conflict *config.ConflictError `json:"conflict,omitempty"`
+}
+
+func (s *session) report(err error) {
+	f := failure{Error: err.Error(), Exit: exitCode(err)}
+	var invalid *findings.Error
+	if errors.As(err, &invalid) {
+		f.Findings = invalid.Findings
+	}
+	var api *operator.Error
+	if errors.As(err, &api) {
+		f.Findings = api.Findings
+	}
+	errors.As(err, &f.Conflict)
+	if s.cli.Output == "json" {
+		enc := json.NewEncoder(s.stderr)
+		enc.SetIndent("", "  ")
+		_ = enc.Encode(f)
+		return
+	}
+	if invalid != nil {
+		_, _ = fmt.Fprintln(s.stderr, invalid.Error())
+		return
+	}
+	_, _ = fmt.Fprintln(s.stderr, "drctl:", err)
+}
