Run the thin path as separate processes in a demo

make demo starts the platform, backend server and link stand-ins and 8 entry instances with the delays of the chosen deployment, applies deployment and contract, sends load, drains a backend server, prints latency, placement, burn and a trace, and compares the answers with the ledger of the backend servers.

Cause not known yet.

--- /dev/null
+++ b/cmd/drdemo/demo.go
@@ -0,0 +1,237 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionrack/dandelionrack/internal/loadgen"
+	backendstandin "github.com/dandelionrack/dandelionrack/internal/standin/backend"
+	"github.com/dandelionrack/dandelionrack/internal/testbed"
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+)
+
+// serviceTime is the median service time of the stand-ins for backend servers.
+const serviceTime = 40 * time.Millisecond
+
+// drainLimit is the time in which the demo's drain has to end: the longest
+// request of the demo plus the 3 s of the design.
+const drainLimit = 3*time.Second + 500*time.Millisecond
+
+type demo struct {
+	cl    commandLine
+	bed   *testbed.Bed
+	token string
+	dir   string
+}
+
+func run(ctx context.Context, cl commandLine) error {
+	dir, err := os.MkdirTemp("", "drdemo")
+	if err != nil {
+		return errors.Wrap(err, "folder of the demo")
+	}
+	if cl.Verbose {
+		fmt.Println("settings and logs:", dir)
+	} else {
+		defer func() { _ = os.RemoveAll(dir) }()
+	}
+	d := &demo{cl: cl, token: cl.Deployment + "-token", dir: dir}
+	started := time.Now()
+	d.bed, err = testbed.Start(ctx, testbed.Options{
+		Bin:        cl.Bin,
+		Deployment: filepath.Join(cl.Deploy, cl.Deployment),
+		Dir:        dir,
+		Delays:     testbed.DelaysOf(cl.Deployment),
+		Work: backendstandin.Work{
+			Distribution: backendstandin.Lognormal,
+			ServiceTime:  config.Duration(serviceTime),
+			Sigma:        0.3,
+			Max:          config.Duration(500 * time.Millisecond),
+			BodySize:     2000,
+		},
+	})
+	if err != nil {
+		return err
+	}
+	defer d.bed.Close()
+	fmt.Printf("%s: %d entry instances and %d backend servers ready after %.1f s\n", cl.Deployment,
+		len(d.bed.Deployment().EntryInstances), len(d.bed.Deployment().BackendServers), time.Since(started).Seconds())
+	return d.drive(ctx)
+}
+
+// drive sends load, drains a backend server in the middle, and reports.
+func (d *demo) drive(ctx context.Context) error {
+	callers, err := d.bed.Callers(4, d.token)
+	if err != nil {
+		return err
+	}
+	results := make(chan []loadgen.Result, 1)
+	go func() {
+		results <- loadgen.Run(ctx, callers, d.streams(), d.cl.Duration)
+	}()
+	drained := make(chan error, 1)
+	go func() {
+		time.Sleep(d.cl.Duration / 3)
+		drained <- d.drain(ctx)
+	}()
+	all := <-results
+	if err := <-drained; err != nil {
+		return err
+	}
+	d.printLatency(all)
+	d.printPlacement(all)
+	if err := d.printReports(ctx, all); err != nil {
+		return err
+	}
+	return d.check(ctx, all)
+}
+
+// streams loads every service at the wanted share of its slots.
+func (d *demo) streams() []loadgen.Stream {
+	slots := map[string]int{}
+	for _, s := range d.bed.Deployment().BackendServers {
+		for _, name := range s.Services {
+			slots[name] += s.Slots
+		}
+	}
+	var out []loadgen.Stream
+	for _, svc := range d.bed.Contract().Services {
+		name := svc.Name
+		if len(svc.Aliases) > 0 {
+			name = svc.Aliases[0] // callers that were never updated
+		}
+		out = append(out, loadgen.Stream{
+			Service:    name,
+			Rate:       d.cl.Load * float64(slots[svc.Name]) / serviceTime.Seconds(),
+			AtMostOnce: !svc.Idempotent,
+			Timeout:    svc.Timeout.Std(),
+		})
+	}
+	return out
+}
+
+// drain empties one backend server through the operator command and reports
+// how long it took.
+func (d *demo) drain(ctx context.Context) error {
+	server := d.bed.Deployment().BackendServers[0].ID
+	started := time.Now()
+	if _, err := d.drctl(ctx, "drain", "start", server, "--reason", "demo"); err != nil {
+		return err
+	}
+	if _, err := d.drctl(ctx, "drain", "status", server, "--wait"); err != nil {
+		return err
+	}
+	took := time.Since(started)
+	fmt.Printf("\ndrain of %s: idle after %.2f s\n", server, took.Seconds())
+	if took > drainLimit {
+		return errors.Errorf("drain took %s, more than %s", took, drainLimit)
+	}
+	_, err := d.drctl(ctx, "drain", "cancel", server)
+	return err
+}
+
+// drctl runs the operator command as an operator would.
+func (d *demo) drctl(ctx context.Context, args ...string) (string, error) {
+	tokenFile := filepath.Join(d.dir, "operator-token")
+	if err := os.WriteFile(tokenFile, []byte(testbed.OperatorToken+"\n"), 0o600); err != nil {
+		return "", err
+	}
+	first := d.bed.Deployment().EntryInstances[0].OperatorAddr
+	all := append([]string{"--server", "http://" + first, "--token-file", tokenFile}, args...)
+	out, err := exec.CommandContext(ctx, filepath.Join(d.cl.Bin, "drctl"), all...).CombinedOutput()
+	if err != nil {
+		return "", errors.Wrapf(err, "drctl %s: %s", strings.Join(args, " "), out)
+	}
+	return string(out), nil
+}
+
+func (d *demo) printLatency(all []loadgen.Result) {
+	fmt.Printf("\n%-12s %8s %9s %9s %9s %9s  %s\n", "service", "sent", "p50 ms", "p99 ms", "p99.9 ms", "max ms", "outcomes")
+	summaries := loadgen.Summarize(all)
+	for _, name := range sortedKeys(summaries) {
+		s := summaries[name]
+		fmt.Printf("%-12s %8d %9.1f %9.1f %9.1f %9.1f  %v %v\n", name, s.Sent, s.P50, s.P99, s.P999, s.Max, s.Outcomes, s.Reasons)
+	}
+}
+
+// printPlacement shows which share of each service each region served.
+func (d *demo) printPlacement(all []loadgen.Result) {
+	dep := d.bed.Deployment()
+	regionOf := map[string]string{}
+	for _, s := range dep.BackendServers {
+		regionOf[s.ID] = dep.RegionOf(s.FailureDomain)
+	}
+	counts := map[string]map[string]int{}
+	for _, r := range all {
+		if r.BackendServer == "" {
+			continue
+		}
+		if counts[r.Service] == nil {
+			counts[r.Service] = map[string]int{}
+		}
+		counts[r.Service][regionOf[r.BackendServer]]++
+	}
+	fmt.Println("\nanswers by region")
+	for _, name := range sortedKeys(counts) {
+		fmt.Printf("%-12s %v\n", name, counts[name])
+	}
+}
+
+func (d *demo) printReports(ctx context.Context, all []loadgen.Result) error {
+	out, err := d.drctl(ctx, "burn")
+	if err != nil {
+		return err
+	}
+	fmt.Printf("\nservice-level burn\n%s", out)
+	last := all[len(all)-1]
+	if last.RequestID == "" {
+		return nil
+	}
+	if out, err = d.drctl(ctx, "trace", last.RequestID); err != nil {
+		return err
+	}
+	fmt.Printf("\ntrace of one request\n%s", out)
+	return nil
+}
+
+// check compares what callers were told with what backend servers ran.
+func (d *demo) check(ctx context.Context, all []loadgen.Result) error {
+	stats, err := d.bed.BackendStats(ctx)
+	if err != nil {
+		return err
+	}
+	for id, s := range stats {
+		if s.Overruns > 0 {
+			return errors.Errorf("backend server %s was over its slots %d times", id, s.Overruns)
+		}
+	}
+	runs, err := d.bed.Ledger(ctx, "")
+	if err != nil {
+		return err
+	}
+	problems := testbed.Audit(all, runs)
+	for _, p := range problems {
+		fmt.Println("problem:", p)
+	}
+	if len(problems) > 0 {
+		return errors.Errorf("%d requests were told something else than what happened", len(problems))
+	}
+	fmt.Println("\nchecked: no key ran twice, every refusal was true, no backend server over its slots")
+	return nil
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/testbed/audit.go
@@ -0,0 +1,64 @@
+package testbed
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/dandelionrack/dandelionrack/internal/loadgen"
+	backendstandin "github.com/dandelionrack/dandelionrack/internal/standin/backend"
+)
+
+// DelaysOf returns the delays of a sample deployment.
+func DelaysOf(deployment string) *Delays {
+	d := &Delays{BetweenDomains: 500 * time.Microsecond, ToClients: 8 * time.Millisecond, StoreRegion: "attiki"}
+	if deployment == "hesabu" {
+		d.StoreRegion = "dar"
+	}
+	return d
+}
+
+// Audit compares what callers were told with the runs of the backend servers:
+// no key runs twice, an answer needs a completed run, and a request that was
+// refused as not run has none.
+func Audit(results []loadgen.Result, runs []backendstandin.Run) []string {
+	byKey := map[string][]backendstandin.Run{}
+	byRequest := map[string][]backendstandin.Run{}
+	for _, run := range runs {
+		if run.IdempotencyKey != "" {
+			byKey[run.IdempotencyKey] = append(byKey[run.IdempotencyKey], run)
+		}
+		byRequest[run.RequestID] = append(byRequest[run.RequestID], run)
+	}
+	var problems []string
+	for key, list := range byKey {
+		if len(list) > 1 {
+			problems = append(problems, fmt.Sprintf("key %s ran %d times", key, len(list)))
+		}
+	}
+	for _, r := range results {
+		list := byRequest[r.RequestID]
+		if r.Key != "" {
+			list = byKey[r.Key]
+		}
+		switch r.Outcome {
+		case loadgen.OutcomeAnswered, loadgen.OutcomeRecorded:
+			if !anyCompleted(list) {
+				problems = append(problems, fmt.Sprintf("request %s (key %q) was answered without a completed run", r.RequestID, r.Key))
+			}
+		case loadgen.OutcomeNotRun:
+			if r.RequestID != "" && len(list) > 0 {
+				problems = append(problems, fmt.Sprintf("request %s (key %q) was refused as not run (%s) but ran", r.RequestID, r.Key, r.Reason))
+			}
+		}
+	}
+	return problems
+}
+
+func anyCompleted(runs []backendstandin.Run) bool {
+	for _, r := range runs {
+		if r.Completed {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/zeromicro/go-zero/core/logx"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dandelionrack/dandelionrack/internal/loadgen"
@@ -64,6 +65,8 @@
 // Start runs all processes and applies deployment and contract. On an error
 // nothing is left running.
 func Start(ctx context.Context, opts Options) (*Bed, error) {
+	// The request log of httpc repeats what the results hold.
+	logx.Disable()
 	l, err := loadLayout(opts.Deployment, opts.Delays)
 	if err != nil {
 		return nil, err
@@ -140,8 +143,10 @@
 		return errors.Wrap(err, "apply deployment")
 	}
 	change.ID = loadgen.NewKey()
-	_, err = client.SubmitChange(ctx, change, config.ApplyContract{Contract: b.layout.contract})
-	return errors.Wrap(err, "apply contract")
+	if _, err := client.SubmitChange(ctx, change, config.ApplyContract{Contract: b.layout.contract}); err != nil {
+		return errors.Wrap(err, "apply contract")
+	}
+	return nil
 }
 
 func (b *Bed) launchEntry(in config.EntryInstance, fresh bool) error {
@@ -202,7 +207,10 @@
 	if err != nil {
 		return err
 	}
-	return errors.Wrapf(p.cmd.Process.Signal(sig), "signal %s", name)
+	if err := p.cmd.Process.Signal(sig); err != nil {
+		return errors.Wrapf(err, "signal %s", name)
+	}
+	return nil
 }
 
 // Kill ends a process at once and waits for its end.
@@ -229,7 +237,10 @@
 	}
 	select {
 	case <-p.done:
-		return errors.Wrapf(p.err, "%s", name)
+		if p.err != nil {
+			return errors.Wrap(p.err, name)
+		}
+		return nil
 	case <-ctx.Done():
 		return errors.Wrapf(ctx.Err(), "stop of %s", name)
 	}
@@ -431,5 +442,8 @@
 	if into == nil {
 		return nil
 	}
-	return errors.Wrap(json.Unmarshal(data, into), req.URL.String())
+	if err := json.Unmarshal(data, into); err != nil {
+		return errors.Wrap(err, req.URL.String())
+	}
+	return nil
 }
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -84,11 +84,6 @@
 	return fallback
 }
 
-// regionOfServer returns the region of a backend server.
-func (v *view) regionOfServer(id string) string {
-	return v.regions[v.servers[id].FailureDomain]
-}
-
 // linkBits is the capacity between two regions in bits per second.
 func (v *view) linkBits(a, b string) int64 {
 	for _, l := range v.doc.Deployment.Links {
--- a/pkg/httpserver/httpserver.go
+++ b/pkg/httpserver/httpserver.go
@@ -102,7 +102,7 @@
 	} else {
 		err = s.http.Serve(l)
 	}
-	if errors.Is(err, http.ErrServerClosed) {
+	if err == nil || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return errors.Wrapf(err, "serve %s", s.cfg.Name)
@@ -110,5 +110,8 @@
 
 // Shutdown closes the listener and waits until no request is in flight.
 func (s *Server) Shutdown(ctx context.Context) error {
-	return errors.Wrapf(s.http.Shutdown(ctx), "shut down %s", s.cfg.Name)
+	if err := s.http.Shutdown(ctx); err != nil {
+		return errors.Wrapf(err, "shut down %s", s.cfg.Name)
+	}
+	return nil
 }
