--- a/cmd/drdemo/demo.go
+++ b/cmd/drdemo/demo.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -85,7 +86,11 @@
 	if err := <-drained; err != nil {
 		return err
 	}
-	d.printLatency(all)
+	if err := loadgen.WriteResults(d.cl.Results, all); err != nil {
+		return err
+	}
+	fmt.Println()
+	loadgen.PrintSummaries(os.Stdout, loadgen.Summarize(all))
 	d.printPlacement(all)
 	if err := d.printReports(ctx, all); err != nil {
 		return err
@@ -152,15 +157,6 @@
 	return string(out), nil
 }
 
-func (d *demo) printLatency(all []loadgen.Result) {
-	fmt.Printf("\n%-12s %8s %9s %9s %9s %9s  %s\n", "service", "sent", "p50 ms", "p99 ms", "p99.9 ms", "max ms", "outcomes")
-	summaries := loadgen.Summarize(all)
-	for _, name := range sortedKeys(summaries) {
-		s := summaries[name]
-		fmt.Printf("%-12s %8d %9.1f %9.1f %9.1f %9.1f  %v %v\n", name, s.Sent, s.P50, s.P99, s.P999, s.Max, s.Outcomes, s.Reasons)
-	}
-}
-
 // printPlacement shows which share of each service each region served.
 func (d *demo) printPlacement(all []loadgen.Result) {
 	dep := d.bed.Deployment()
@@ -179,7 +175,7 @@
 		counts[r.Service][regionOf[r.BackendServer]]++
 	}
 	fmt.Println("\nanswers by region")
-	for _, name := range sortedKeys(counts) {
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
 		fmt.Printf("%-12s %v\n", name, counts[name])
 	}
 }
@@ -226,12 +222,3 @@
 	fmt.Println("\nchecked: no key ran twice, every refusal was true, no backend server over its slots")
 	return nil
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	slices.Sort(out)
-	return out
-}
--- a/cmd/drdemo/main.go
+++ b/cmd/drdemo/main.go
@@ -22,6 +22,7 @@
 	Bin        string           `help:"Folder with the built programs." default:"bin"`
 	Duration   time.Duration    `help:"How long load is sent." default:"10s"`
 	Load       float64          `help:"Load as a share of the slots." default:"0.5"`
+	Results    string           `help:"Write every result as a JSON line to this file." placeholder:"FILE"`
 	Verbose    bool             `help:"Keep the folder with settings and logs, and print its name."`
 	Version    kong.VersionFlag `help:"Print the version and exit."`
 }
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -29,8 +29,12 @@
 	Outcomes map[string]int `json:"outcomes"`
 	Reasons  map[string]int `json:"reasons"`
 	// Latencies are of answered requests, in milliseconds.
-	P50, P99, P999, Max float64
-	histogram           *hdrhistogram.Histogram
+	P50  float64 `json:"p50_ms"`
+	P99  float64 `json:"p99_ms"`
+	P999 float64 `json:"p999_ms"`
+	Max  float64 `json:"max_ms"`
+
+	histogram *hdrhistogram.Histogram
 }
 
 // maxInFlight bounds the requests in flight of one run; a request that is due
