Hedge slow idempotent requests and start from the highest known configuration

A replaced instance asked the table service and its seeds one after the other and adopted the first answer, so a stale read could bring back an older version than its predecessor had; it now waits for all answers and takes the highest. A forward that a peer lost is tried elsewhere for idempotent requests. Peers can show each other certificates (peer_tls).

--- a/pkg/entry/configsync.go
+++ b/pkg/entry/configsync.go
@@ -56,7 +56,11 @@
 	t := time.NewTicker(configPollInterval)
 	defer t.Stop()
 	for {
-		e.pollConfig(ctx)
+		if e.currentView() == nil {
+			e.bootstrapConfig(ctx)
+		} else {
+			e.pollConfig(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -65,46 +69,66 @@
 	}
 }
 
-// pollConfig reads the stored document and, while none is known, asks the
-// seeds as well: the platform may be down when an instance is replaced.
-func (e *Entry) pollConfig(ctx context.Context) {
-	if e.currentView() == nil {
-		for _, addr := range e.settings.Seeds {
-			go e.fetchConfig(ctx, addr)
+// bootstrapConfig asks the table service and all seeds at once and adopts the
+// highest version of the answers that arrive in time. Taking the first answer
+// would let a replaced instance go back to an older version than its
+// predecessor had, because reads of the table service can be stale.
+func (e *Entry) bootstrapConfig(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, configCallTimeout)
+	defer cancel()
+	answers := make(chan *config.Document, len(e.settings.Seeds)+1)
+	go func() { answers <- e.loadConfig(ctx) }()
+	for _, addr := range e.settings.Seeds {
+		go func() { answers <- e.fetchConfig(ctx, addr) }()
+	}
+	var best *config.Document
+	for range cap(answers) {
+		doc := <-answers
+		if doc != nil && (best == nil || doc.Version > best.Version) {
+			best = doc
 		}
 	}
+	e.adopt(best, "start")
+}
+
+// pollConfig reads the stored document, in case a push was lost.
+func (e *Entry) pollConfig(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, configCallTimeout)
 	defer cancel()
+	e.adopt(e.loadConfig(ctx), "table service")
+}
+
+// loadConfig reads the stored document, or returns nil.
+func (e *Entry) loadConfig(ctx context.Context) *config.Document {
 	doc, err := e.store.Load(ctx)
 	if err != nil {
 		e.metrics.storeErrors.Add(1)
 		e.log.Debug("configuration could not be read from the table service", "error", err)
-		return
+		return nil
 	}
-	e.adopt(doc, "table service")
+	return doc
 }
 
-// fetchConfig asks a peer for a document newer than ours.
-func (e *Entry) fetchConfig(ctx context.Context, addr string) {
-	ctx, cancel := context.WithTimeout(ctx, configCallTimeout)
-	defer cancel()
+// fetchConfig asks a peer for a document newer than ours, and returns nil if
+// it has none.
+func (e *Entry) fetchConfig(ctx context.Context, addr string) *config.Document {
 	rep, err := e.callPeer(ctx, addr, &wire.Request{Call: &wire.Request_ConfigFetch{
 		ConfigFetch: &wire.ConfigFetch{HaveVersion: e.configVersion()},
 	}})
 	if err != nil {
 		e.log.Debug("configuration could not be read from a peer", "peer", addr, "error", err)
-		return
+		return nil
 	}
 	data := rep.GetConfig().GetDocument()
 	if len(data) == 0 {
-		return
+		return nil
 	}
 	doc, err := config.Decode(data)
 	if err != nil {
 		e.log.Warn("peer sent a configuration that cannot be read", "peer", addr, "error", err)
-		return
+		return nil
 	}
-	e.adopt(doc, "peer "+addr)
+	return doc
 }
 
 // pushConfig sends a document to all peers at once. A peer that misses it
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -116,11 +116,27 @@
 		Entries: e.configuredEntries,
 		Logger:  e.log,
 	})
-	e.peers = peer.NewPool(peer.Config{Self: settings.ID, Incarnation: self.Number, Logger: e.log})
-	e.peerServer = peer.NewServer(peer.Config{Self: settings.ID, Incarnation: self.Number, Handler: e, Logger: e.log})
+	if err := e.buildPeers(); err != nil {
+		return nil, err
+	}
 	return e, e.buildListeners()
 }
 
+func (e *Entry) buildPeers() error {
+	client, server, err := e.settings.PeerTLS.load()
+	if err != nil {
+		return err
+	}
+	base := peer.Config{Self: e.self.Entry, Incarnation: e.self.Number, Logger: e.log}
+	pool, accept := base, base
+	pool.TLS = client
+	accept.TLS = server
+	accept.Handler = e
+	e.peers = peer.NewPool(pool)
+	e.peerServer = peer.NewServer(accept)
+	return nil
+}
+
 func (e *Entry) buildListeners() error {
 	var err error
 	e.callers, err = httpserver.New(httpserver.Config{
@@ -277,11 +293,22 @@
 	switch {
 	case e.leaving.Load():
 		return wire.EntryState_ENTRY_STATE_LEAVING
-	case e.currentView() == nil:
-		return wire.EntryState_ENTRY_STATE_NOT_READY
-	default:
+	case e.configured():
 		return wire.EntryState_ENTRY_STATE_READY
+	default:
+		return wire.EntryState_ENTRY_STATE_NOT_READY
+	}
+}
+
+// configured reports whether a configuration is known and names this entry
+// instance, so that it has a seat.
+func (e *Entry) configured() bool {
+	v := e.currentView()
+	if v == nil {
+		return false
 	}
+	_, ok := v.entries[e.settings.ID]
+	return ok
 }
 
 // serve runs a caller's request to its end.
--- a/pkg/entry/heartbeat.go
+++ b/pkg/entry/heartbeat.go
@@ -156,7 +156,9 @@
 	}
 	go func() {
 		defer e.fetching.Store(false)
-		e.fetchConfig(context.WithoutCancel(ctx), v.entries[peerID].PeerAddr)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), configCallTimeout)
+		defer cancel()
+		e.adopt(e.fetchConfig(ctx, v.entries[peerID].PeerAddr), "peer "+peerID)
 	}()
 }
 
--- /dev/null
+++ b/pkg/entry/hedge.go
@@ -0,0 +1,130 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+)
+
+// place is where an attempt is now.
+type place struct {
+	entry  string
+	server string // known once the request has a slot at this entry instance
+}
+
+// tryHedged makes one attempt and, if it takes longer than the service's hedge
+// time, a second one at the same time. A hedge goes only to a free slot, within
+// the shift cap and the retry budget.
+//
+// The attempt that loses is not canceled: its slot is free as soon as the
+// backend server answers, but would stay held until the deadline after a
+// cancellation.
+func (s *steering) tryHedged(ctx context.Context) reply {
+	after := s.req.service.HedgeAfter.Std()
+	if after <= 0 || !s.req.service.Idempotent || s.attempt > 0 {
+		return s.try(ctx)
+	}
+	race := s.e.newRace(ctx, s.req.deadline)
+	defer race.finish()
+	race.start(s.try)
+	timer := time.NewTimer(after)
+	defer timer.Stop()
+	select {
+	case rep := <-race.results:
+		return rep
+	case <-ctx.Done():
+		race.cancel()
+		return s.abandoned()
+	case <-timer.C:
+	}
+	runners := 1
+	if hedge := s.hedge(); hedge != nil {
+		runners++
+		race.start(hedge.tryFree)
+	}
+	return s.firstAnswer(ctx, race, runners)
+}
+
+// hedge prepares a second attempt somewhere else, or returns nil.
+func (s *steering) hedge() *steering {
+	at := s.place.Load()
+	if at == nil {
+		return nil
+	}
+	h := &steering{e: s.e, req: s.req, attempt: s.attempt}
+	h.excludeServers = slices.Clone(s.excludeServers)
+	h.excludeEntries = slices.Clone(s.excludeEntries)
+	switch {
+	case at.server != "":
+		h.excludeServers = append(h.excludeServers, at.server)
+	case at.entry == s.e.settings.ID:
+		return nil // still queued here: a second request would only add load
+	default:
+		h.excludeEntries = append(h.excludeEntries, at.entry)
+	}
+	if len(h.plan()) == 0 || !s.e.allowRetry(s.req) {
+		return nil
+	}
+	s.attempt++
+	s.e.metrics.hedges.Add(1)
+	return h
+}
+
+// firstAnswer returns the first answer, or the last failure.
+func (s *steering) firstAnswer(ctx context.Context, race *race, runners int) reply {
+	var last reply
+	for range runners {
+		select {
+		case rep := <-race.results:
+			if rep.answered() {
+				return rep
+			}
+			last = rep
+		case <-ctx.Done():
+			race.cancel()
+			return s.abandoned()
+		}
+	}
+	return last
+}
+
+func (s *steering) abandoned() reply {
+	return unknownOutcome(ReasonConnectionLost, "no answer before the deadline")
+}
+
+// race runs attempts that may outlive the caller's request, up to its deadline.
+type race struct {
+	e       *Entry
+	ctx     context.Context
+	cancel  context.CancelFunc
+	results chan reply
+	running sync.WaitGroup
+}
+
+// maxRunners is the number of attempts of one race.
+const maxRunners = 2
+
+func (e *Entry) newRace(ctx context.Context, deadline time.Time) *race {
+	r := &race{e: e, results: make(chan reply, maxRunners)}
+	r.ctx, r.cancel = context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	return r
+}
+
+func (r *race) start(attempt func(context.Context) reply) {
+	r.e.inFlight.Add(1)
+	r.running.Add(1)
+	go func() {
+		defer r.e.inFlight.Done()
+		defer r.running.Done()
+		r.results <- attempt(r.ctx)
+	}()
+}
+
+// finish releases the context when the last attempt has ended.
+func (r *race) finish() {
+	go func() {
+		r.running.Wait()
+		r.cancel()
+	}()
+}
--- a/pkg/entry/local.go
+++ b/pkg/entry/local.go
@@ -16,7 +16,7 @@
 	noQueue bool
 	exclude []string
 	// admitted is called when a slot was found, before anything is sent.
-	admitted func()
+	admitted func(server string)
 }
 
 // admitAndCall takes a slot of this entry instance's shares and sends the
@@ -35,7 +35,7 @@
 		return notRun(reason, "no slot at entry instance %s", e.settings.ID)
 	}
 	if o.admitted != nil {
-		o.admitted()
+		o.admitted(s.server)
 	}
 	return e.callBackend(ctx, req, s, o.attempt, waited)
 }
--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -19,7 +19,7 @@
 // server was sent the request, unless it or the dial proved that it did not
 // run.
 func (e *Entry) serveOnce(ctx context.Context, req *request) reply {
-	decision := e.claims.Begin(ctx, req.claimID(), req.key, req.fingerprint())
+	decision := e.beginClaim(ctx, req)
 	if decision.Verdict == claim.PassTo {
 		return e.passToOwner(ctx, req, decision.PassTo)
 	}
@@ -32,6 +32,13 @@
 	return e.runOnce(runCtx, req, decision.Ticket)
 }
 
+func (e *Entry) beginClaim(ctx context.Context, req *request) claim.Decision {
+	started := time.Now()
+	d := e.claims.Begin(ctx, req.claimID(), req.key, req.fingerprint())
+	e.span(req, trace.Span{Kind: "claim", Reason: d.Reason, Outcome: d.Verdict.String(), DurationUS: time.Since(started).Microseconds()})
+	return d
+}
+
 func (e *Entry) runOnce(ctx context.Context, req *request, ticket *claim.Ticket) reply {
 	if err := ticket.Dispatch(time.Now()); err != nil {
 		ticket.NotRun(string(ReasonDeadline))
@@ -53,7 +60,6 @@
 func (e *Entry) claimReply(req *request, d claim.Decision) reply {
 	switch d.Verdict {
 	case claim.Recorded:
-		e.span(req, trace.Span{Kind: "recorded"})
 		return reply{
 			outcome: wire.Outcome_OUTCOME_RECORDED,
 			status:  d.Result.Status,
@@ -101,7 +107,7 @@
 // serveOwned handles a request that a peer passed on because this incarnation
 // holds, or may hold, its claim.
 func (e *Entry) serveOwned(ctx context.Context, req *request) reply {
-	decision := e.claims.Begin(ctx, req.claimID(), req.key, req.fingerprint())
+	decision := e.beginClaim(ctx, req)
 	switch decision.Verdict {
 	case claim.PassTo:
 		// Not passed on again: the peer took this process for its predecessor.
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -50,6 +50,8 @@
 	// LogFormat is "text" or "json".
 	LogFormat string    `json:"log_format,omitempty"`
 	TLS       *TLSFiles `json:"tls,omitempty"`
+	// PeerTLS makes entry instances show each other certificates.
+	PeerTLS *PeerTLSFiles `json:"peer_tls,omitempty"`
 }
 
 // TLSFiles names the certificate and key of the operator listener.
@@ -58,6 +60,16 @@
 	KeyFile  string `json:"key_file"`
 }
 
+// PeerTLSFiles names the certificate and key of this entry instance, and the
+// certificate authority that has signed those of all entry instances.
+type PeerTLSFiles struct {
+	CertFile string `json:"cert_file"`
+	KeyFile  string `json:"key_file"`
+	CAFile   string `json:"ca_file"`
+	// ServerName is the name in the certificates of all entry instances.
+	ServerName string `json:"server_name"`
+}
+
 // Formats of log lines.
 const (
 	LogFormatText = "text"
@@ -127,6 +139,9 @@
 	if s.TLS != nil && (s.TLS.CertFile == "" || s.TLS.KeyFile == "") {
 		l.Add("tls", "needs both cert_file and key_file")
 	}
+	if p := s.PeerTLS; p != nil && (p.CertFile == "" || p.KeyFile == "" || p.CAFile == "" || p.ServerName == "") {
+		l.Add("peer_tls", "needs cert_file, key_file, ca_file and server_name")
+	}
 }
 
 func checkSizes(l *findings.List, s *Settings) {
--- a/pkg/entry/steer.go
+++ b/pkg/entry/steer.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/dandelionrack/dandelionrack/pkg/admission"
@@ -28,8 +29,10 @@
 	e       *Entry
 	req     *request
 	attempt uint32
-	// excludeServers failed this request already.
+	// excludeServers and excludeEntries failed this request already.
 	excludeServers []string
+	excludeEntries []string
+	place          atomic.Pointer[place]
 }
 
 // steer sends a request to a backend server and tries others while that is
@@ -41,20 +44,34 @@
 	e.countRequest(req)
 	s := &steering{e: e, req: req}
 	for {
-		rep := s.try(ctx)
+		rep := s.tryHedged(ctx)
 		if !s.mayRetry(ctx, rep) {
 			return rep
 		}
-		s.excludeServers = append(s.excludeServers, rep.server)
+		s.exclude(rep)
 		e.metrics.retries.Add(1)
 	}
 }
 
-// mayRetry reports whether another attempt is safe and allowed. A reply
+// exclude keeps later attempts away from what has just failed.
+func (s *steering) exclude(rep reply) {
+	if rep.server != "" {
+		s.excludeServers = append(s.excludeServers, rep.server)
+		return
+	}
+	if at := s.place.Load(); at != nil && at.entry != s.e.settings.ID {
+		s.excludeEntries = append(s.excludeEntries, at.entry)
+	}
+}
+
+// mayRetry reports whether another attempt is safe and allowed. A refusal
 // without a backend server means that no slot was found; the search was
 // complete then.
 func (s *steering) mayRetry(ctx context.Context, rep reply) bool {
-	if rep.answered() || rep.server == "" || s.attempt >= maxAttempts {
+	if rep.answered() || s.attempt >= maxAttempts {
+		return false
+	}
+	if rep.isNotRun() && rep.server == "" {
 		return false
 	}
 	if rep.outcome == wire.Outcome_OUTCOME_UNKNOWN && !s.req.service.Idempotent {
@@ -68,19 +85,25 @@
 
 // try looks for a free slot at the planned places, then waits for one.
 func (s *steering) try(ctx context.Context) reply {
+	rep := s.tryFree(ctx)
+	if !rep.isNotRun() || rep.server != "" {
+		return rep
+	}
+	return s.wait(ctx, rep)
+}
+
+// tryFree asks the planned places for a free slot, best first.
+func (s *steering) tryFree(ctx context.Context) reply {
 	s.attempt++
 	plan := s.plan()
-	if len(plan) == 0 {
-		return s.wait(ctx, notRun(ReasonNoBackendServer, "no entry instance can take a request for service %s", s.req.service.Name))
-	}
-	var last reply
+	last := notRun(ReasonNoBackendServer, "no entry instance can take a request for service %s", s.req.service.Name)
 	for _, c := range plan[:min(len(plan), maxPlaces)] {
 		last = s.tryPlace(ctx, c, true)
 		if !last.isNotRun() || last.server != "" {
 			return last
 		}
 	}
-	return s.wait(ctx, last)
+	return last
 }
 
 // wait queues the request where it would be served best. refused is the reply
@@ -152,6 +175,7 @@
 		Service:        req.service.Name,
 		HomeRegion:     req.homeRegion,
 		AllowedRegions: req.service.Regions,
+		Exclude:        s.excludeEntries,
 		OnlyRegion:     e.mustStayAway(req),
 		Peers:          e.routingPeers(v, req.service.Name, now),
 		LocalFree:      free,
@@ -179,12 +203,16 @@
 		s.e.span(s.req, trace.Span{Kind: "skip", Attempt: int(s.attempt), Peer: c.Entry, Reason: string(ReasonShiftCap)})
 		return notRun(ReasonShiftCap, "the shift cap keeps requests of home region %s out of region %s for now", s.req.homeRegion, c.Region)
 	}
+	s.place.Store(&place{entry: c.Entry})
 	var rep reply
 	if c.Local {
 		rep = s.e.admitAndCall(ctx, s.req, admitOptions{
 			attempt: s.attempt,
 			noQueue: noQueue,
 			exclude: s.excludeServers,
+			admitted: func(server string) {
+				s.place.Store(&place{entry: c.Entry, server: server})
+			},
 		})
 	} else {
 		rep = s.e.forward(ctx, s.req, forwardOptions{
