--- a/cmd/drctl/main.go
+++ b/cmd/drctl/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/go-faster/errors"
+	"github.com/zeromicro/go-zero/core/logx"
 
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/findings"
@@ -56,6 +57,9 @@
 }
 
 func main() {
+	// go-zero's HTTP client logs every call to stdout, which belongs to the
+	// output of the command.
+	logx.Disable()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
 	stop()
--- a/cmd/drctl/session.go
+++ b/cmd/drctl/session.go
@@ -52,7 +52,7 @@
 			CAFile:  s.cli.CAFile,
 		})
 		if err != nil {
-			return errors.Wrapf(errUsage, "--server (%v)", err)
+			return errors.Wrapf(errUsage, "--server or --token-file (%v)", err)
 		}
 		s.clients = append(s.clients, c)
 	}
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -60,6 +60,9 @@
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
 		return nil, errors.Errorf("operator API address %q must be like http://127.0.0.1:7003", c.BaseURL)
 	}
+	if strings.ContainsFunc(c.Token, notInHeader) {
+		return nil, errors.New("operator API token must be printable ASCII without spaces")
+	}
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
 	if c.CAFile != "" {
 		pool, err := loadCA(c.CAFile)
@@ -78,6 +81,10 @@
 	return &Client{base: base, token: c.Token, service: httpc.NewServiceWithClient("operator "+base, client)}, nil
 }
 
+// notInHeader finds characters that would make each request fail before it is
+// sent.
+func notInHeader(r rune) bool { return r <= ' ' || r > '~' }
+
 func loadCA(file string) (*x509.CertPool, error) {
 	pem, err := os.ReadFile(file)
 	if err != nil {
