Refuse a change id that was used for another operation

A change id that was given again by mistake, for another object, returned the earlier version as if the new change had been accepted. The row of the change id now names the operation. A digest of the whole operation was ruled out: the base version of a cancelled drain is no longer known when the command runs again.

Also: the history is read in pages, rates are bounded so that a shift cap stays finite, findings quote keys that are not printable, and empty lists are [] in JSON output.

--- a/cmd/drctl/change.go
+++ b/cmd/drctl/change.go
@@ -117,12 +117,17 @@
 
 type contractHistoryCmd struct {
 	Customer string `arg:"" optional:"" help:"Only changes of this contract."`
-	Limit    int    `default:"20" help:"Number of changes to read."`
+	Limit    int    `default:"20" help:"Number of changes to show."`
 }
 
 func (c *contractHistoryCmd) Run(s *session) error {
+	read := c.Limit
+	if c.Customer != "" {
+		// The API does not filter, so changes of other objects are read too.
+		read = operator.MaxHistory
+	}
 	entries, err := ask(s, func(ctx context.Context, cl *operator.Client) ([]config.HistoryEntry, error) {
-		return cl.History(ctx, c.Limit)
+		return cl.History(ctx, read)
 	})
 	if err != nil {
 		return err
@@ -132,6 +137,7 @@
 			return e.Change.Object != "contract/"+c.Customer
 		})
 	}
+	entries = notNil(entries[:min(max(c.Limit, 0), len(entries))])
 	return s.emit(entries, func(w io.Writer) {
 		row(w, "VERSION", "AT", "AUTHOR", "SUMMARY", "CHANGE")
 		for _, e := range entries {
--- a/cmd/drctl/report.go
+++ b/cmd/drctl/report.go
@@ -86,6 +86,7 @@
 	if err != nil {
 		return err
 	}
+	claims = notNil(claims)
 	return s.emit(claims, func(w io.Writer) {
 		row(w, "CLAIMED AT", "CUSTOMER", "SERVICE", "KEY", "ENTRY", "INCARNATION", "STATE", "DETAIL")
 		for _, u := range claims {
@@ -120,6 +121,14 @@
 	})
 }
 
+// notNil makes an empty list appear as [] in JSON, not as null.
+func notNil[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
+}
+
 // counts prints numbers by name in name order.
 func counts(m map[string]int) string {
 	parts := make([]string, 0, len(m))
--- a/pkg/config/operation.go
+++ b/pkg/config/operation.go
@@ -178,6 +178,9 @@
 
 func (o CancelDrain) validate(*Document, *findings.List) {}
 
+// Describe names an operation and its object, such as "start drain salio-1".
+func Describe(op Operation) string { return op.summary() }
+
 func contractObject(customer string) string { return "contract/" + customer }
 
 func drainObject(server string) string { return "drain/" + server }
--- a/pkg/config/validate_contract.go
+++ b/pkg/config/validate_contract.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/hex"
 	"fmt"
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -18,6 +17,8 @@
 	// minShiftWindow leaves 100 ms for each of the ten sub-windows.
 	minShiftWindow = time.Second
 	maxShiftWindow = time.Hour
+	// maxRate keeps products of rates and windows finite.
+	maxRate = 1e9
 	// maxRetryRatio is the retry budget of the design: one request in ten.
 	maxRetryRatio = 0.1
 	// tokenDigestBytes is the length of a SHA-256 digest.
@@ -87,8 +88,8 @@
 	case timeout > maxTimeout:
 		list.Add(path+".timeout", "must be at most %s", maxTimeout)
 	}
-	if !inRange(s.RatePerSecond, 0, math.MaxFloat64) {
-		list.Add(path+".rate_per_second", "must be 0 (no limit) or above")
+	if !inRange(s.RatePerSecond, 0, maxRate) {
+		list.Add(path+".rate_per_second", "must be 0 (no limit) or above, at most %v", float64(maxRate))
 	}
 	if !inRange(s.RetryRatio, 0, maxRetryRatio) {
 		list.Add(path+".retry_ratio", "must be from 0 to %v", maxRetryRatio)
@@ -114,8 +115,8 @@
 	if w := c.Window.Std(); w < minShiftWindow || w > maxShiftWindow {
 		list.Add(path+".window", "must be from %s to %s", minShiftWindow, maxShiftWindow)
 	}
-	if !inRange(c.Rate, 0, math.MaxFloat64) || (c.Rate == 0 && c.Share > 0) {
-		list.Add(path+".rate", "must be above 0")
+	if !inRange(c.Rate, 0, maxRate) || (c.Rate == 0 && c.Share > 0) {
+		list.Add(path+".rate", "must be above 0 and at most %v", float64(maxRate))
 	}
 }
 
--- a/pkg/config/validate_test.go
+++ b/pkg/config/validate_test.go
@@ -160,6 +160,7 @@
 		for _, s := range c.Services {
 			require.Positive(t, s.Timeout)
 			require.GreaterOrEqual(t, s.ShiftCap.PerWindow(), 0.0)
+			require.False(t, math.IsInf(s.ShiftCap.PerWindow(), 0))
 			found, ok := c.FindService(s.Name)
 			require.True(t, ok)
 			require.Equal(t, s.Name, found.Name)
--- a/pkg/configstore/store.go
+++ b/pkg/configstore/store.go
@@ -10,6 +10,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -27,6 +28,9 @@
 	// number; a change id can be submitted again this long without a second
 	// effect.
 	HistoryRetention = 14 * 24 * time.Hour
+
+	// historyPage is the number of history rows that are read at once.
+	historyPage = 50
 )
 
 // Store reads and writes the document. It is safe for concurrent use.
@@ -64,21 +68,35 @@
 	if doc.Version > uint64(limit) {
 		after = versionKey(doc.Version - uint64(limit))
 	}
-	// A change that was accepted after Load may add rows, so the list may be
-	// longer than the range that was read.
-	rows, err := s.table.List(ctx, versionPrefix, after, limit+1)
+	entries, err := s.historyAfter(ctx, after)
 	if err != nil {
-		return nil, errors.Wrap(err, "read history")
+		return nil, err
 	}
-	entries := make([]config.HistoryEntry, 0, len(rows))
-	for i := len(rows) - 1; i >= 0 && len(entries) < limit; i-- {
-		var e config.HistoryEntry
-		if err := json.Unmarshal(rows[i].Value, &e); err != nil {
-			return nil, errors.Wrapf(err, "read history row %s", rows[i].Key)
+	slices.Reverse(entries)
+	// A change that was accepted after Load adds an entry.
+	return entries[:min(limit, len(entries))], nil
+}
+
+// historyAfter reads in pages, because rows hold whole documents.
+func (s *Store) historyAfter(ctx context.Context, after string) ([]config.HistoryEntry, error) {
+	var entries []config.HistoryEntry
+	for {
+		rows, err := s.table.List(ctx, versionPrefix, after, historyPage)
+		if err != nil {
+			return nil, errors.Wrap(err, "read history")
+		}
+		if len(rows) == 0 {
+			return entries, nil
+		}
+		for _, row := range rows {
+			var e config.HistoryEntry
+			if err := json.Unmarshal(row.Value, &e); err != nil {
+				return nil, errors.Wrapf(err, "read history row %s", row.Key)
+			}
+			entries = append(entries, e)
+			after = row.Key
 		}
-		entries = append(entries, e)
 	}
-	return entries, nil
 }
 
 // BootstrapDeployment writes version 1 into an empty store. A store that has a
@@ -103,4 +121,7 @@
 // acceptedRow is the value of config/change/<id>.
 type acceptedRow struct {
 	Version uint64 `json:"version"`
+	// Operation tells a change that is submitted again from another one that
+	// uses the same change id by mistake.
+	Operation string `json:"operation"`
 }
--- a/pkg/configstore/store_test.go
+++ b/pkg/configstore/store_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/configstore"
+	"github.com/dandelionrack/dandelionrack/pkg/findings"
 	"github.com/dandelionrack/dandelionrack/pkg/platform"
 )
 
@@ -188,7 +189,8 @@
 }
 
 // Guards against a change whose reply was lost and that is then reported as a
-// conflict, because others changed the object again before the writer read it.
+// conflict, because others changed the object again before the writer read it,
+// and against a used change id that makes another operation look accepted.
 func TestLostReplyThenOthersWrite(t *testing.T) {
 	ctx := context.Background()
 	table := newTable(1, false)
@@ -204,10 +206,15 @@
 	require.Equal(t, uint64(2), doc.Version)
 	require.Equal(t, "first", doc.Change.ID)
 
+	_, err = store.Submit(ctx, change("first"), config.StartDrain{Server: "s1"})
+	var used *findings.Error
+	require.True(t, errors.As(err, &used), "a used change id must not pass as accepted")
+
 	entries, err := store.History(ctx, 2)
 	require.NoError(t, err)
 	require.Equal(t, "other", entries[0].Change.ID)
 	require.Equal(t, "cancel", entries[1].Change.ID)
+	require.Len(t, entries, 2)
 }
 
 // Guards against a conflict that does not name the change that came first,
--- a/pkg/configstore/submit.go
+++ b/pkg/configstore/submit.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/findings"
 	"github.com/dandelionrack/dandelionrack/pkg/platform"
 )
 
@@ -134,7 +135,7 @@
 	if err != nil {
 		return err
 	}
-	accepted, err := json.Marshal(acceptedRow{Version: next.Version})
+	accepted, err := json.Marshal(acceptedRow{Version: next.Version, Operation: config.Describe(s.op)})
 	if err != nil {
 		return errors.Wrap(err, "encode change row")
 	}
@@ -173,6 +174,9 @@
 	if err := json.Unmarshal(row.Value, &accepted); err != nil {
 		return nil, errors.Wrapf(err, "read row %s", row.Key)
 	}
+	if accepted.Operation != config.Describe(s.op) {
+		return nil, usedChangeID(s.change.ID, accepted)
+	}
 	for attempt := range maxAttempts {
 		r, err := s.store.table.Get(ctx, versionKey(accepted.Version))
 		if err == nil {
@@ -185,6 +189,12 @@
 	return nil, s.notDone(errors.Errorf("version %d can not be read", accepted.Version))
 }
 
+func usedChangeID(id string, accepted acceptedRow) error {
+	var list findings.List
+	list.Add("change.id", "%q was used already, for %q (version %d)", id, accepted.Operation, accepted.Version)
+	return list.Err()
+}
+
 // notDone turns an end without a decision into one of the two errors that
 // tell whether the change may have been made.
 func (s *submission) notDone(cause error) error {
--- a/pkg/operator/routes.go
+++ b/pkg/operator/routes.go
@@ -22,8 +22,10 @@
 	// with its client blocks.
 	MaxChangeBytes = 8 << 20
 
+	// MaxHistory bounds the changes that one request can read.
+	MaxHistory = 1000
+
 	defaultHistory = 20
-	maxHistory     = 1000
 )
 
 // Routes returns the handlers of the operator API. Every request must carry
@@ -123,8 +125,8 @@
 	if text := r.URL.Query().Get("limit"); text != "" {
 		var err error
 		n, err = strconv.Atoi(text)
-		if err != nil || n < 1 || n > maxHistory {
-			return nil, badRequest("limit must be from 1 to " + strconv.Itoa(maxHistory))
+		if err != nil || n < 1 || n > MaxHistory {
+			return nil, badRequest("limit must be from 1 to " + strconv.Itoa(MaxHistory))
 		}
 	}
 	return h.backend.History(r.Context(), n)
--- a/pkg/settings/walk.go
+++ b/pkg/settings/walk.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"reflect"
 	"sort"
+	"strconv"
 	"strings"
 
 	"github.com/tailscale/hujson"
@@ -63,6 +64,10 @@
 	case *hujson.Object:
 		w.object(v, t, dst, path)
 	case *hujson.Array:
+		if dst.Kind() == reflect.Array {
+			w.decode(v, dst, path)
+			return
+		}
 		w.array(v, t, dst, path)
 	default:
 		w.decode(v, dst, path)
@@ -228,7 +233,12 @@
 	return lit.String()
 }
 
+// join quotes names that would spoil the output, such as one with a line
+// break.
 func join(path, name string) string {
+	if strings.ContainsFunc(name, func(r rune) bool { return !strconv.IsPrint(r) }) {
+		name = strconv.Quote(name)
+	}
 	if path == "" {
 		return name
 	}
@@ -264,7 +274,7 @@
 	const limit = 40
 	s = strings.TrimSpace(s)
 	if len(s) > limit {
-		return s[:limit] + "..."
+		return strings.ToValidUTF8(s[:limit], "") + "..."
 	}
 	return s
 }
