Test the stand-ins and the HTTP clients

The stand-in's instance list kept its old value when an empty list was set: a nil list was skipped.

TestBrokenAnswersAreUnknown first used a run longer than the deadline and expected UnknownError. That failed in 1 of 5 runs under -race: the stand-in stops the run at the same deadline and may answer 504 in time, which is a whole answer. The case now delays the answer of a completed run instead, which can only end as unknown.

--- a/internal/standin/backend/fleet.go
+++ b/internal/standin/backend/fleet.go
@@ -36,7 +36,7 @@
 		if one.Work != nil {
 			work = *one.Work
 		}
-		s, err := startServer(one, work, sampler, f.ledger)
+		s, err := startServer(one, work, settings.OpenDelay.Std(), sampler, f.ledger)
 		if err != nil {
 			return nil, errors.Join(err, f.Close())
 		}
--- /dev/null
+++ b/internal/standin/backend/fleet_test.go
@@ -0,0 +1,197 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+)
+
+func start(t *testing.T, server ServerSettings) *Fleet {
+	t.Helper()
+	settings := DefaultSettings()
+	server.ID, server.Addr = "b1", "127.0.0.1:0"
+	settings.Servers = []ServerSettings{server}
+	f, err := Start(settings)
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, f.Close()) })
+	return f
+}
+
+func request(t *testing.T, ctx context.Context, f *Fleet, path string, header map[string]string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.Addr("b1")+path, strings.NewReader("x"))
+	require.NoError(t, err)
+	for k, v := range header {
+		r.Header.Set(k, v)
+	}
+	return r
+}
+
+func waitInFlight(t *testing.T, f *Fleet, n int) {
+	t.Helper()
+	require.Eventually(t, func() bool { return f.Stats()["b1"].InFlight == n }, 2*time.Second, time.Millisecond)
+}
+
+func adminPost(t *testing.T, f *Fleet, query, body string) int {
+	t.Helper()
+	resp, err := http.Post(f.AdminURL()+"/admin/mode"+query, "application/json", strings.NewReader(body))
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	return resp.StatusCode
+}
+
+// Guards against an overrun that the stand-in does not count, and against a
+// shed request that ran.
+func TestShedsOverSlots(t *testing.T) {
+	f := start(t, ServerSettings{Slots: 1})
+	go func() {
+		resp, err := http.DefaultClient.Do(request(t, context.Background(), f, "/", map[string]string{ServiceTimeHeader: "200ms"}))
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	waitInFlight(t, f, 1)
+	resp, err := http.DefaultClient.Do(request(t, context.Background(), f, "/", map[string]string{"Idempotency-Key": "shed"}))
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Equal(t, "true", resp.Header.Get("Not-Run"))
+	stats := f.Stats()["b1"]
+	require.Equal(t, 2, stats.MaxInFlight)
+	require.EqualValues(t, 1, stats.Overruns)
+	require.Empty(t, f.Runs("", "shed", ""))
+}
+
+// Guards against slots that stay taken after a cancellation, or that come free
+// before the deadline when the server ignores cancellation.
+func TestCancellationAndDeadline(t *testing.T) {
+	f := start(t, ServerSettings{Slots: 2})
+	cancelled := func(key string) {
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, err := http.DefaultClient.Do(request(t, ctx, f, "/", map[string]string{
+			ServiceTimeHeader: "10s", "Request-Timeout-Ms": "300", "Idempotency-Key": key,
+		}))
+		require.Error(t, err)
+	}
+	cancelled("honoured")
+	waitInFlight(t, f, 0)
+	require.Equal(t, "cancelled", f.Runs("", "honoured", "")[0].Cause)
+	require.Equal(t, http.StatusOK, adminPost(t, f, "?server=b", `{"ignore_cancel": true}`))
+	cancelled("ignored")
+	require.Equal(t, 1, f.Stats()["b1"].InFlight)
+	waitInFlight(t, f, 0)
+	run := f.Runs("", "ignored", "")[0]
+	require.Equal(t, "deadline", run.Cause)
+	require.GreaterOrEqual(t, run.End.Sub(run.Start), 300*time.Millisecond)
+}
+
+// Guards against an answer that cannot be matched to its request.
+func TestAnswerNamesItsRequest(t *testing.T) {
+	f := start(t, ServerSettings{Slots: 1})
+	resp, err := http.DefaultClient.Do(request(t, context.Background(), f, "/p?q=1", map[string]string{
+		"Dandelionrack-Request-Id": "r1", "Idempotency-Key": "k1", BodySizeHeader: "1000", ServiceTimeHeader: "1ms",
+	}))
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.EqualValues(t, 1000, resp.ContentLength)
+	var a Answer
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(&a))
+	require.Equal(t, "r1", a.RequestID)
+	require.Equal(t, "/p?q=1", a.Path)
+	runs := f.Runs("b1", "k1", "r1")
+	require.Len(t, runs, 1)
+	require.True(t, runs[0].Completed)
+	require.Equal(t, a.Run, runs[0].ID)
+}
+
+// Guards against load and health modes that differ from their names.
+func TestLoadAndHealthModes(t *testing.T) {
+	f := start(t, ServerSettings{Slots: 2})
+	go func() {
+		resp, err := http.DefaultClient.Do(request(t, context.Background(), f, "/", map[string]string{ServiceTimeHeader: "500ms"}))
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	waitInFlight(t, f, 1)
+	get := func(path string) string {
+		client := &http.Client{Timeout: 50 * time.Millisecond}
+		resp, err := client.Get("http://" + f.Addr("b1") + path)
+		if err != nil {
+			return "hang"
+		}
+		defer resp.Body.Close()
+		var body struct {
+			State    string `json:"state"`
+			InFlight int    `json:"in_flight"`
+		}
+		if resp.StatusCode != http.StatusOK {
+			return "missing"
+		}
+		require.NoError(t, json.NewDecoder(resp.Body).Decode(&body))
+		return body.State + strings.Repeat("*", body.InFlight)
+	}
+	steps := []struct{ mode, path, want string }{
+		{`{}`, "/load", "*"},
+		{`{"load": "idle"}`, "/load", ""},
+		{`{"load": "missing"}`, "/load", "missing"},
+		{`{"load": "hang"}`, "/load", "hang"},
+		{`{"load": "stuck"}`, "/load", "*"},
+		{`{"draining": true}`, "/health", "draining"},
+		{`{"health": "ok"}`, "/health", "ok"},
+		{`{"health": "hang"}`, "/health", "hang"},
+	}
+	for _, step := range steps {
+		require.Equal(t, http.StatusOK, adminPost(t, f, "", step.mode))
+		require.Equal(t, step.want, get(step.path), step.mode)
+	}
+	require.False(t, f.Stats()["b1"].DrainingSince.IsZero())
+	waitInFlight(t, f, 0)
+	require.Equal(t, "*", get("/load"), "a stuck report must not follow the load")
+	require.Equal(t, http.StatusBadRequest, adminPost(t, f, "", `{"laod": "idle"}`))
+	require.Equal(t, http.StatusBadRequest, adminPost(t, f, "", `{"load": "lazy"}`))
+	require.Equal(t, http.StatusNotFound, adminPost(t, f, "?server=x", `{}`))
+}
+
+// Guards against a server that takes more connections than its bound.
+func TestConnectionBound(t *testing.T) {
+	f := start(t, ServerSettings{Slots: 1, MaxConnections: 2})
+	for range 3 {
+		c, err := net.Dial("tcp", f.Addr("b1"))
+		require.NoError(t, err)
+		defer c.Close()
+	}
+	require.Eventually(t, func() bool { return f.Stats()["b1"].RefusedConnections == 1 }, 2*time.Second, time.Millisecond)
+	require.EqualValues(t, 2, f.Stats()["b1"].OpenConnections)
+}
+
+// Guards against a cold phase that does not end, and unbounded service times.
+func TestServiceTimes(t *testing.T) {
+	w := Work{
+		Distribution: Lognormal, ServiceTime: config.Duration(10 * time.Millisecond), Sigma: 1,
+		Max: config.Duration(40 * time.Millisecond), ColdFor: config.Duration(10 * time.Second), ColdFactor: 3,
+	}
+	require.InDelta(t, 3, coldFactor(w, 0), 1e-9)
+	require.InDelta(t, 2, coldFactor(w, 5*time.Second), 1e-9)
+	require.InDelta(t, 1, coldFactor(w, 10*time.Second), 1e-9)
+	s := newSampler(1)
+	below := 0
+	const draws = 10_000
+	for range draws {
+		d := s.draw(w)
+		require.LessOrEqual(t, d, 40*time.Millisecond)
+		if d < 10*time.Millisecond {
+			below++
+		}
+	}
+	require.InDelta(t, draws/2, below, draws/50, "the service time is the median")
+}
--- a/internal/standin/backend/listener.go
+++ b/internal/standin/backend/listener.go
@@ -4,16 +4,20 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // limitedListener closes connections over its limit at once, as a server at
 // its limit does, and counts the open ones.
 type limitedListener struct {
 	net.Listener
-	limit   int64 // 0: none
-	open    atomic.Int64
-	maxOpen atomic.Int64
-	refused atomic.Int64
+	limit int64 // 0: none
+	// openDelay is the time that a new connection takes before its first
+	// request is read.
+	openDelay time.Duration
+	open      atomic.Int64
+	maxOpen   atomic.Int64
+	refused   atomic.Int64
 }
 
 // Accept returns the next connection within the limit.
@@ -41,6 +45,13 @@
 	net.Conn
 	listener *limitedListener
 	once     sync.Once
+	first    sync.Once
+}
+
+// Read delays the first bytes of the connection.
+func (c *countedConn) Read(p []byte) (int, error) {
+	c.first.Do(func() { time.Sleep(c.listener.openDelay) })
+	return c.Conn.Read(p)
 }
 
 // Close counts the connection as closed once.
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -42,7 +42,7 @@
 	stuckLoad int
 }
 
-func startServer(settings ServerSettings, work Work, sampler *sampler, ledger *ledger) (*server, error) {
+func startServer(settings ServerSettings, work Work, openDelay time.Duration, sampler *sampler, ledger *ledger) (*server, error) {
 	l, err := net.Listen("tcp", settings.Addr)
 	if err != nil {
 		return nil, errors.Wrapf(err, "backend server %s", settings.ID)
@@ -52,7 +52,7 @@
 		work:      work,
 		sampler:   sampler,
 		ledger:    ledger,
-		listener:  &limitedListener{Listener: l, limit: int64(settings.MaxConnections)},
+		listener:  &limitedListener{Listener: l, limit: int64(settings.MaxConnections), openDelay: openDelay},
 		mode:      Mode{Load: LoadHonest, Health: HealthHonest},
 		coldSince: time.Now(),
 	}
--- a/internal/standin/backend/settings.go
+++ b/internal/standin/backend/settings.go
@@ -12,6 +12,8 @@
 	Servers []ServerSettings `json:"servers"`
 	// Work is the default of servers that have none of their own.
 	Work Work `json:"work"`
+	// OpenDelay is the time that each new connection takes.
+	OpenDelay config.Duration `json:"open_delay"`
 	// Seed of the service times; 0 picks one.
 	Seed uint64 `json:"seed"`
 }
@@ -51,11 +53,13 @@
 	ColdFactor float64         `json:"cold_factor"`
 }
 
-// DefaultSettings has a fixed service time of 20 ms and no cold phase.
+// DefaultSettings has a fixed service time of 20 ms, no cold phase, and 1 ms to
+// open a connection.
 func DefaultSettings() Settings {
 	return Settings{
-		Admin: "127.0.0.1:0",
-		Work:  Work{Distribution: Fixed, ServiceTime: config.Duration(20 * time.Millisecond), BodySize: 256},
+		Admin:     "127.0.0.1:0",
+		OpenDelay: config.Duration(time.Millisecond),
+		Work:      Work{Distribution: Fixed, ServiceTime: config.Duration(20 * time.Millisecond), BodySize: 256},
 	}
 }
 
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -85,6 +85,9 @@
 
 // connect opens the far side. If the target refuses, the near side is reset.
 func (l *link) connect(near *net.TCPConn) {
+	// The kernel has accepted the connection at once. The first bytes wait for
+	// the round trip that the handshake would take.
+	time.Sleep(2 * l.current().Delay.Std())
 	far, err := net.DialTimeout("tcp", l.settings.Target, dialTimeout)
 	if err != nil {
 		_ = near.SetLinger(0)
--- a/internal/standin/link/pipe.go
+++ b/internal/standin/link/pipe.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -83,8 +84,8 @@
 // fill reads the near end and stamps each chunk with its arrival time.
 func (p *pair) fill(d direction, src *net.TCPConn, q *queue) {
 	var last time.Time
+	buf := make([]byte, readBytes)
 	for {
-		buf := make([]byte, readBytes)
 		n, err := src.Read(buf)
 		now := time.Now()
 		passed := p.link.shaper(d).reserve(n, now)
@@ -94,7 +95,7 @@
 			due = last
 		}
 		last = due
-		c := chunk{data: buf[:n], due: due, end: endingOf(err)}
+		c := chunk{data: slices.Clone(buf[:n]), due: due, end: endingOf(err)}
 		if !q.push(c) || c.end != endNone {
 			return
 		}
@@ -122,7 +123,13 @@
 		if !ok || !p.sleep(time.Until(c.due)) || !p.waitThaw(d) {
 			return
 		}
-		if !p.write(d, dst, c.data) || c.end == endReset {
+		whole := p.write(d, dst, c.data)
+		if whole && c.end != endNone && d == reverse && p.lostBytes.Load() {
+			// After lost bytes no end of the stream can arrive either.
+			<-p.done
+			return
+		}
+		if !whole || c.end == endReset {
 			p.reset()
 			return
 		}
--- a/internal/standin/platform/handlers.go
+++ b/internal/standin/platform/handlers.go
@@ -152,14 +152,15 @@
 	visible := time.Now().Add(-s.settings.InstanceLag.Std())
 	s.mu.Lock()
 	s.stats.Reads++
-	list := []platform.Instance{}
+	var list []platform.Instance
 	for _, l := range s.lists {
-		if !l.at.After(visible) && l.instances != nil {
+		if !l.at.After(visible) {
 			list = l.instances
 		}
 	}
 	s.mu.Unlock()
-	restserver.WriteJSON(w, http.StatusOK, list)
+	// An empty list is [] on the wire, never null.
+	restserver.WriteJSON(w, http.StatusOK, append([]platform.Instance{}, list...))
 }
 
 func (s *Server) handleSetFault(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/pkg/backend/poller_test.go
@@ -0,0 +1,43 @@
+package backend_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+
+	standin "github.com/dandelionrack/dandelionrack/internal/standin/backend"
+	"github.com/dandelionrack/dandelionrack/pkg/backend"
+)
+
+func asError[T error](err error, target *T) bool { return errors.As(err, target) }
+
+// Guards against a load report that hangs, lies or is missing and hides that
+// the server drains.
+func TestPollerReports(t *testing.T) {
+	f := startFleet(t, standin.ServerSettings{Slots: 3})
+	ctx, cancel := context.WithCancel(context.Background())
+	reports := make(chan backend.Report, 1000)
+	p := backend.NewPoller(ctx, backend.PollerConfig{Interval: 5 * time.Millisecond, Timeout: 50 * time.Millisecond},
+		func(_ string, r backend.Report) { reports <- r })
+	p.SetTargets([]backend.Target{{Server: "b1", Addr: f.Addr("b1")}})
+	next := func(want func(backend.Report) bool) {
+		t.Helper()
+		require.Eventually(t, func() bool { return want(<-reports) }, 2*time.Second, time.Millisecond)
+	}
+	next(func(r backend.Report) bool {
+		return r.State == backend.StateOK && r.InFlight == 0 && r.Slots == 3 && r.Err == nil
+	})
+	setMode(t, f, func(m *standin.Mode) { m.Load, m.Draining = standin.LoadHang, true })
+	next(func(r backend.Report) bool {
+		return r.State == backend.StateDraining && r.InFlight == -1 && r.Err != nil
+	})
+	setMode(t, f, func(m *standin.Mode) { m.Load, m.Health = standin.LoadIdle, standin.HealthMissing })
+	next(func(r backend.Report) bool { return r.State == backend.StateUnknown && r.InFlight == 0 })
+
+	p.SetTargets(nil)
+	p.Wait() // would hang if a removed server were still polled
+	cancel()
+}
--- /dev/null
+++ b/pkg/backend/pool_test.go
@@ -0,0 +1,246 @@
+package backend_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+	"pgregory.net/rapid"
+
+	standin "github.com/dandelionrack/dandelionrack/internal/standin/backend"
+	"github.com/dandelionrack/dandelionrack/pkg/backend"
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+)
+
+func startFleet(t *testing.T, server standin.ServerSettings) *standin.Fleet {
+	t.Helper()
+	settings := standin.DefaultSettings()
+	settings.Work.ServiceTime = config.Duration(time.Millisecond)
+	server.ID, server.Addr = "b1", "127.0.0.1:0"
+	settings.Servers = []standin.ServerSettings{server}
+	f, err := standin.Start(settings)
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, f.Close()) })
+	return f
+}
+
+func setMode(t *testing.T, f *standin.Fleet, change func(m *standin.Mode)) {
+	t.Helper()
+	_, err := f.SetMode("", func(m *standin.Mode) error { change(m); return nil })
+	require.NoError(t, err)
+}
+
+func newPool(t *testing.T) *backend.Pool {
+	p := backend.NewPool(backend.Config{})
+	t.Cleanup(p.Close)
+	return p
+}
+
+func callTo(addr, key string) backend.Call {
+	return backend.Call{
+		Server: "b1", Addr: addr, MaxConnections: 8, Method: http.MethodPost, Path: "/capture",
+		Header: http.Header{"Idempotency-Key": {key}}, Body: []byte("amount=1"), Timeout: 2 * time.Second, AtMostOnce: true,
+	}
+}
+
+// Guards against a double payment when the server closes a kept connection
+// after it ran the request.
+func TestReplyLostRunsOnce(t *testing.T) {
+	f := startFleet(t, standin.ServerSettings{Slots: 4})
+	p := newPool(t)
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		for _, body := range []string{"amount=1", ""} {
+			key := method + body
+			_, err := p.Do(context.Background(), callTo(f.Addr("b1"), "first "+key))
+			require.NoError(t, err)
+			setMode(t, f, func(m *standin.Mode) { m.CloseAfterRun = 1 })
+			call := callTo(f.Addr("b1"), key)
+			call.Method, call.Body = method, []byte(body)
+			_, err = p.Do(context.Background(), call)
+			var unknown *backend.UnknownError
+			require.ErrorAs(t, err, &unknown)
+			require.Len(t, f.Runs("", key, ""), 1)
+		}
+	}
+}
+
+// Guards against a false "not run": at whatever moment a call is cancelled,
+// NotRunError means that the ledger has no run of its key.
+func TestNotRunIsTrue(t *testing.T) {
+	f := startFleet(t, standin.ServerSettings{Slots: 1})
+	p := newPool(t)
+	var n, answered, unknowns int
+	var refused []string
+	rapid.Check(t, func(t *rapid.T) {
+		n++
+		key := fmt.Sprint("key-", n)
+		micros := rapid.IntRange(0, 2500).Draw(t, "cancel after us")
+		closeAfter := rapid.Bool().Draw(t, "close after run")
+		_, err := f.SetMode("", func(m *standin.Mode) error {
+			m.CloseAfterRun = 0
+			if closeAfter {
+				m.CloseAfterRun = 1
+			}
+			return nil
+		})
+		require.NoError(t, err)
+		// Cancelled by a timer, not a deadline: Do refuses a call whose deadline
+		// is less than 1 ms away, and the test would never reach the Transport.
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		defer time.AfterFunc(time.Duration(micros)*time.Microsecond, cancel).Stop()
+		_, err = p.Do(ctx, callTo(f.Addr("b1"), key))
+		time.Sleep(time.Millisecond) // lets a request that was sent arrive
+		runs := len(f.Runs("", key, ""))
+		var notRun *backend.NotRunError
+		var unknown *backend.UnknownError
+		switch {
+		case err == nil:
+			require.Equal(t, 1, runs)
+			answered++
+		case asError(err, &notRun):
+			require.Zero(t, runs, "%v", err)
+			refused = append(refused, key)
+		default:
+			require.True(t, asError(err, &unknown), "%v", err)
+			require.LessOrEqual(t, runs, 1)
+			unknowns++
+		}
+	})
+	t.Logf("answered %d, not run %d, unknown %d", answered, len(refused), unknowns)
+	require.NotEmpty(t, refused)
+	require.NotZero(t, unknowns)
+	time.Sleep(50 * time.Millisecond) // for requests that arrive late
+	for _, key := range refused {
+		require.Empty(t, f.Runs("", key, ""))
+	}
+}
+
+// Guards against an unknown outcome where "not run" is certain, which would
+// block a retry that is allowed.
+func TestCertainRefusals(t *testing.T) {
+	f := startFleet(t, standin.ServerSettings{Slots: 1})
+	p := newPool(t)
+	slow := callTo(f.Addr("b1"), "slow")
+	slow.Header.Set(standin.ServiceTimeHeader, "300ms")
+	slow.MaxConnections = 2
+	var g errgroup.Group
+	g.Go(func() error { _, err := p.Do(context.Background(), slow); return err })
+	require.Eventually(t, func() bool { return f.Stats()["b1"].InFlight == 1 }, time.Second, time.Millisecond)
+
+	shed := callTo(f.Addr("b1"), "shed")
+	shed.MaxConnections = 2
+	requireNotRun(t, p, shed, true)
+	requireNotRun(t, p, callTo(closedAddr(t), "refused"), false)
+	late := callTo(f.Addr("b1"), "late")
+	late.Timeout = time.Nanosecond
+	requireNotRun(t, p, late, false)
+	require.NoError(t, g.Wait())
+}
+
+// Guards against more connections than the bound, and against an unknown
+// outcome for a call that only waited for a connection.
+func TestConnectionBound(t *testing.T) {
+	f := startFleet(t, standin.ServerSettings{Slots: 8})
+	p := newPool(t)
+	var g errgroup.Group
+	for i := range 2 {
+		call := callTo(f.Addr("b1"), fmt.Sprint(i))
+		call.MaxConnections = 2
+		call.Header.Set(standin.ServiceTimeHeader, "200ms")
+		g.Go(func() error { _, err := p.Do(context.Background(), call); return err })
+	}
+	require.Eventually(t, func() bool { return f.Stats()["b1"].InFlight == 2 }, time.Second, time.Millisecond)
+	third := callTo(f.Addr("b1"), "third")
+	third.MaxConnections, third.Timeout = 2, 50*time.Millisecond
+	requireNotRun(t, p, third, false)
+	require.NoError(t, g.Wait())
+	require.EqualValues(t, 2, f.Stats()["b1"].MaxOpenConnections)
+}
+
+// Guards against a partial or endless answer that is passed on as whole.
+func TestBrokenAnswersAreUnknown(t *testing.T) {
+	f := startFleet(t, standin.ServerSettings{Slots: 4})
+	p := newPool(t)
+	var unknown *backend.UnknownError
+	setMode(t, f, func(m *standin.Mode) { m.Truncate = 1 })
+	_, err := p.Do(context.Background(), callTo(f.Addr("b1"), "truncated"))
+	require.ErrorAs(t, err, &unknown)
+
+	large := callTo(f.Addr("b1"), "large")
+	large.Header.Set(standin.BodySizeHeader, "3000")
+	large.MaxResponseBytes = 2999
+	_, err = p.Do(context.Background(), large)
+	require.ErrorAs(t, err, &unknown)
+	large.MaxResponseBytes = 3000
+	answer, err := p.Do(context.Background(), large)
+	require.NoError(t, err)
+	require.Len(t, answer.Body, 3000)
+
+	_, err = p.Do(context.Background(), callTo(rawServer(t, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf"), "endless"))
+	require.ErrorAs(t, err, &unknown)
+
+	// A late answer, not a long run: a server that stops a run at its deadline
+	// may still answer 504 in time.
+	setMode(t, f, func(m *standin.Mode) { m.DelayAnswer = config.Duration(time.Second) })
+	late := callTo(f.Addr("b1"), "late")
+	late.Timeout = 100 * time.Millisecond
+	_, err = p.Do(context.Background(), late)
+	require.ErrorAs(t, err, &unknown)
+	require.True(t, f.Runs("", "late", "")[0].Completed)
+}
+
+// Guards against cold connections after Warm, which cost callers the time to
+// open them.
+func TestWarmOpensConnections(t *testing.T) {
+	f := startFleet(t, standin.ServerSettings{Slots: 16})
+	p := newPool(t)
+	p.Configure("b1", f.Addr("b1"), 8)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	require.NoError(t, p.Warm(ctx, "b1", f.Addr("b1"), 8))
+	require.EqualValues(t, 8, f.Stats()["b1"].OpenConnections)
+	var g errgroup.Group
+	for i := range 8 {
+		g.Go(func() error { _, err := p.Do(ctx, callTo(f.Addr("b1"), fmt.Sprint(i))); return err })
+	}
+	require.NoError(t, g.Wait())
+	require.EqualValues(t, 8, f.Stats()["b1"].MaxOpenConnections)
+}
+
+func requireNotRun(t *testing.T, p *backend.Pool, call backend.Call, shed bool) {
+	t.Helper()
+	_, err := p.Do(context.Background(), call)
+	var notRun *backend.NotRunError
+	require.ErrorAs(t, err, &notRun)
+	require.Equal(t, shed, notRun.Shed)
+}
+
+func closedAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	return l.Addr().String()
+}
+
+// rawServer answers one connection with fixed bytes and closes it.
+func rawServer(t *testing.T, answer string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = c.Read(make([]byte, 4096))
+		_, _ = c.Write([]byte(answer))
+		_ = c.Close()
+	}()
+	return l.Addr().String()
+}
