--- a/internal/standin/link/pipe.go
+++ b/internal/standin/link/pipe.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,10 @@
 	reverse
 )
 
+// preciseSpan is the end of a wait that is slept in the kernel. It is longer
+// than the error of a Go timer, and short, because it blocks a thread.
+const preciseSpan = 2 * time.Millisecond
+
 // pair is one proxied connection.
 type pair struct {
 	link      *link
@@ -83,8 +88,8 @@
 // fill reads the near end and stamps each chunk with its arrival time.
 func (p *pair) fill(d direction, src *net.TCPConn, q *queue) {
 	var last time.Time
+	buf := make([]byte, readBytes)
 	for {
-		buf := make([]byte, readBytes)
 		n, err := src.Read(buf)
 		now := time.Now()
 		passed := p.link.shaper(d).reserve(n, now)
@@ -94,7 +99,7 @@
 			due = last
 		}
 		last = due
-		c := chunk{data: buf[:n], due: due, end: endingOf(err)}
+		c := chunk{data: slices.Clone(buf[:n]), due: due, end: endingOf(err)}
 		if !q.push(c) || c.end != endNone {
 			return
 		}
@@ -119,10 +124,16 @@
 func (p *pair) deliver(d direction, dst *net.TCPConn, q *queue) {
 	for {
 		c, ok := q.pop()
-		if !ok || !p.sleep(time.Until(c.due)) || !p.waitThaw(d) {
+		if !ok || !p.sleepUntil(c.due) || !p.waitThaw(d) {
+			return
+		}
+		whole := p.write(d, dst, c.data)
+		if whole && c.end != endNone && d == reverse && p.lostBytes.Load() {
+			// After lost bytes no end of the stream can arrive either.
+			<-p.done
 			return
 		}
-		if !p.write(d, dst, c.data) || c.end == endReset {
+		if !whole || c.end == endReset {
 			p.reset()
 			return
 		}
@@ -180,6 +191,17 @@
 	}
 }
 
+// sleepUntil waits for a time with a resolution well below 1 ms.
+func (p *pair) sleepUntil(due time.Time) bool {
+	if !p.sleep(time.Until(due) - preciseSpan) {
+		return false
+	}
+	if left := time.Until(due); left > 0 {
+		preciseSleep(left)
+	}
+	return true
+}
+
 func (p *pair) sleep(d time.Duration) bool {
 	if d <= 0 {
 		return true
