drctl: separate peer and backend server, print no request log

Cause: the TO column joined both names without a separator, and the silence of go-zero's HTTP client was switched on in main, where no test saw it. pkg/operator repeated the types of pkg/trace and pkg/burn, with a conversion in pkg/entry; it now uses those types, so a burn report gains the shares and JSON names of pkg/burn (good, bad, burn_rate). A service without an objective prints "-" instead of a burn of 0.00.

--- a/cmd/drctl/main.go
+++ b/cmd/drctl/main.go
@@ -57,9 +57,6 @@
 }
 
 func main() {
-	// go-zero's HTTP client logs every call to stdout, which belongs to the
-	// output of the command.
-	logx.Disable()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
 	stop()
@@ -67,6 +64,9 @@
 }
 
 func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	// The HTTP client of go-zero logs every call to stdout, which belongs to
+	// the output of the command.
+	logx.Disable()
 	var c cli
 	parser, err := kong.New(&c,
 		kong.Name("drctl"),
--- a/cmd/drctl/main_test.go
+++ b/cmd/drctl/main_test.go
@@ -13,11 +13,13 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/rest/router"
 
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/operator"
 	"github.com/dandelionrack/dandelionrack/pkg/platform"
+	"github.com/dandelionrack/dandelionrack/pkg/trace"
 )
 
 const sampleDir = "../../deploy/hesabu/"
@@ -226,3 +228,27 @@
 		require.Contains(t, stderr, want)
 	}
 }
+
+// Guards against the request log of go-zero's HTTP client in the output of the
+// command, where it breaks --output json.
+func TestNoRequestLog(t *testing.T) {
+	a := prepare(t)
+	var log bytes.Buffer
+	logx.SetWriter(logx.NewWriter(&log))
+	code, _, stderr := drctl(t, []string{a.url}, "contract", "list")
+	require.Equal(t, exitOK, code)
+	require.Empty(t, stderr)
+	require.Empty(t, log.String())
+}
+
+// Guards against a peer and a backend server that are printed as one name.
+func TestTraceTarget(t *testing.T) {
+	for want, s := range map[string]trace.Span{
+		"":                {},
+		"entry-1":         {Peer: "entry-1"},
+		"salio-1":         {BackendServer: "salio-1"},
+		"entry-1/salio-1": {Peer: "entry-1", BackendServer: "salio-1"},
+	} {
+		require.Equal(t, want, target(s))
+	}
+}
--- a/cmd/drctl/report.go
+++ b/cmd/drctl/report.go
@@ -8,7 +8,9 @@
 	"slices"
 	"strings"
 
+	"github.com/dandelionrack/dandelionrack/pkg/burn"
 	"github.com/dandelionrack/dandelionrack/pkg/operator"
+	"github.com/dandelionrack/dandelionrack/pkg/trace"
 )
 
 type traceCmd struct {
@@ -26,12 +28,21 @@
 		row(w, "AT", "ENTRY", "KIND", "ATTEMPT", "SERVICE", "CONTRACT", "CONFIG", "TO", "REASON", "OUTCOME", "DURATION")
 		for _, p := range t.Spans {
 			row(w, stamp(p.At), p.Entry, p.Kind, p.Attempt, p.Customer+"/"+p.Service, p.ContractVersion,
-				p.ConfigVersion, p.Peer+p.BackendServer, p.Reason, p.Outcome, micros(p.DurationUS))
+				p.ConfigVersion, target(p), p.Reason, p.Outcome, micros(p.DurationUS))
 		}
 		printMissing(w, "incomplete:", t.Incomplete)
 	})
 }
 
+// target names where a step went: a peer, a backend server, or a backend
+// server through a peer.
+func target(s trace.Span) string {
+	if s.Peer != "" && s.BackendServer != "" {
+		return s.Peer + "/" + s.BackendServer
+	}
+	return s.Peer + s.BackendServer
+}
+
 type routesCmd struct{}
 
 func (routesCmd) Run(s *session) error {
@@ -70,13 +81,21 @@
 		for _, v := range b.Services {
 			objective := fmt.Sprintf("%v in %s", v.Objective.Availability, v.Objective.Latency.Std())
 			for _, x := range v.Windows {
-				row(w, v.Customer, v.Service, objective, x.Window.Std(), x.Total, x.Bad, fmt.Sprintf("%.2f", x.Burn))
+				row(w, v.Customer, v.Service, objective, x.Window, x.Good+x.Bad, x.Bad, burnRate(x))
 			}
 		}
 		printMissing(w, "not reached:", b.Unreachable)
 	})
 }
 
+// burnRate is "-" for a service without an objective.
+func burnRate(w burn.WindowBurn) string {
+	if w.BurnRate == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f", *w.BurnRate)
+}
+
 type unresolvedCmd struct{}
 
 func (unresolvedCmd) Run(s *session) error {
--- a/pkg/burn/report.go
+++ b/pkg/burn/report.go
@@ -24,10 +24,10 @@
 
 // ServiceBurn is the burn of one service over all windows.
 type ServiceBurn struct {
-	Customer     string       `json:"customer"`
-	Service      string       `json:"service"`
-	Availability float64      `json:"availability"`
-	Windows      []WindowBurn `json:"windows"`
+	Customer  string           `json:"customer"`
+	Service   string           `json:"service"`
+	Objective config.Objective `json:"objective"`
+	Windows   []WindowBurn     `json:"windows"`
 }
 
 // Result is the burn of all services.
@@ -48,12 +48,12 @@
 	for _, customer := range slices.Sorted(maps.Keys(doc.Contracts)) {
 		for _, service := range doc.Contracts[customer].Services {
 			key := seriesKey{customer: customer, service: service.Name}
-			out.Services = append(out.Services, serviceBurn(key, service.Objective.Availability, counted[key]))
+			out.Services = append(out.Services, serviceBurn(key, service.Objective, counted[key]))
 			delete(counted, key)
 		}
 	}
 	for key, windows := range counted {
-		out.Services = append(out.Services, serviceBurn(key, 0, windows))
+		out.Services = append(out.Services, serviceBurn(key, config.Objective{}, windows))
 	}
 	slices.SortFunc(out.Services, func(a, b ServiceBurn) int {
 		return cmp.Or(cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Service, b.Service))
@@ -61,11 +61,11 @@
 	return out
 }
 
-// serviceBurn takes availability 0 as no objective.
-func serviceBurn(key seriesKey, availability float64, windows map[Window]Counts) ServiceBurn {
-	out := ServiceBurn{Customer: key.customer, Service: key.service, Availability: availability}
+// serviceBurn takes a zero objective as none.
+func serviceBurn(key seriesKey, objective config.Objective, windows map[Window]Counts) ServiceBurn {
+	out := ServiceBurn{Customer: key.customer, Service: key.service, Objective: objective}
 	for _, w := range Windows {
-		out.Windows = append(out.Windows, windowBurn(w, windows[w], availability))
+		out.Windows = append(out.Windows, windowBurn(w, windows[w], objective.Availability))
 	}
 	return out
 }
--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -179,31 +179,11 @@
 	if err != nil {
 		missing = append(missing, "archive: "+err.Error())
 	}
-	spans = trace.Sort(append(spans, archived...))
-	out := operator.TraceReport{RequestID: requestID, Incomplete: missing}
-	for _, s := range spans {
-		out.Spans = append(out.Spans, operatorSpan(s))
-	}
-	return out, nil
-}
-
-func operatorSpan(s trace.Span) operator.Span {
-	return operator.Span{
-		At:              s.At,
-		Entry:           s.Entry,
-		FailureDomain:   s.FailureDomain,
-		Kind:            s.Kind,
-		Attempt:         s.Attempt,
-		Customer:        s.Customer,
-		Service:         s.Service,
-		ContractVersion: s.ContractVersion,
-		ConfigVersion:   s.ConfigVersion,
-		BackendServer:   s.BackendServer,
-		Peer:            s.Peer,
-		Reason:          s.Reason,
-		Outcome:         s.Outcome,
-		DurationUS:      s.DurationUS,
-	}
+	return operator.TraceReport{
+		RequestID:  requestID,
+		Spans:      trace.Sort(append(spans, archived...)),
+		Incomplete: missing,
+	}, nil
 }
 
 func (e *Entry) handleTraceQuery(q *wire.TraceQuery) *wire.Response {
@@ -228,7 +208,7 @@
 	if doc == nil {
 		return operator.BurnReport{}, errors.New("no configuration known yet")
 	}
-	return burnReport(burn.Report(burn.Merge(snapshots...), doc), doc, missing), nil
+	return operator.BurnReport{Result: burn.Report(burn.Merge(snapshots...), doc), Unreachable: missing}, nil
 }
 
 func (e *Entry) handleBurnQuery() *wire.Response {
@@ -239,34 +219,6 @@
 	return &wire.Response{Reply: &wire.Response_Burn{Burn: &wire.BurnReply{Counts: data}}}
 }
 
-func burnReport(r burn.Result, doc *config.Document, missing []string) operator.BurnReport {
-	out := operator.BurnReport{Unreachable: missing}
-	for _, s := range r.Services {
-		row := operator.ServiceBurn{Customer: s.Customer, Service: s.Service}
-		if contract, ok := doc.Contracts[s.Customer]; ok {
-			if svc, ok := contract.FindService(s.Service); ok {
-				row.Objective = svc.Objective
-			}
-		}
-		for _, w := range s.Windows {
-			row.Windows = append(row.Windows, windowBurn(w))
-		}
-		out.Services = append(out.Services, row)
-	}
-	return out
-}
-
-func windowBurn(w burn.WindowBurn) operator.WindowBurn {
-	out := operator.WindowBurn{Total: float64(w.Good + w.Bad), Bad: float64(w.Bad)}
-	if length, err := time.ParseDuration(string(w.Window)); err == nil {
-		out.Window = config.Duration(length)
-	}
-	if w.BurnRate != nil {
-		out.Burn = *w.BurnRate
-	}
-	return out
-}
-
 // Routes implements operator.Backend.
 func (e *Entry) Routes(context.Context) (operator.RoutesReport, error) {
 	v := e.currentView()
--- a/pkg/operator/types.go
+++ b/pkg/operator/types.go
@@ -6,7 +6,9 @@
 	"context"
 	"time"
 
+	"github.com/dandelionrack/dandelionrack/pkg/burn"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/trace"
 )
 
 // Backend is what an entry instance does behind the operator API.
@@ -37,54 +39,19 @@
 
 // TraceReport holds what is known of one request.
 type TraceReport struct {
-	RequestID string `json:"request_id"`
-	Spans     []Span `json:"spans"`
+	RequestID string       `json:"request_id"`
+	Spans     []trace.Span `json:"spans"`
 	// Incomplete names the sources that could not be asked.
 	Incomplete []string `json:"incomplete,omitempty"`
 }
 
-// Span is one step of a request.
-type Span struct {
-	At              time.Time `json:"at"`
-	Entry           string    `json:"entry"`
-	FailureDomain   string    `json:"failure_domain"`
-	Kind            string    `json:"kind"`
-	Attempt         int       `json:"attempt"`
-	Customer        string    `json:"customer,omitempty"`
-	Service         string    `json:"service,omitempty"`
-	ContractVersion uint64    `json:"contract_version,omitempty"`
-	ConfigVersion   uint64    `json:"config_version,omitempty"`
-	BackendServer   string    `json:"backend_server,omitempty"`
-	Peer            string    `json:"peer,omitempty"`
-	Reason          string    `json:"reason,omitempty"`
-	Outcome         string    `json:"outcome,omitempty"`
-	DurationUS      int64     `json:"duration_us"`
-}
-
 // BurnReport is the use of the error budget of all services.
 type BurnReport struct {
-	Services []ServiceBurn `json:"services"`
+	burn.Result
 	// Unreachable names the entry instances whose counts are missing.
 	Unreachable []string `json:"unreachable,omitempty"`
 }
 
-// ServiceBurn is the use of the error budget of one service.
-type ServiceBurn struct {
-	Customer  string           `json:"customer"`
-	Service   string           `json:"service"`
-	Objective config.Objective `json:"objective"`
-	Windows   []WindowBurn     `json:"windows"`
-}
-
-// WindowBurn counts the answers of one window. Burn 1 uses the error budget
-// exactly.
-type WindowBurn struct {
-	Window config.Duration `json:"window"`
-	Total  float64         `json:"total"`
-	Bad    float64         `json:"bad"`
-	Burn   float64         `json:"burn"`
-}
-
 // DrainStatus is the progress of a drain.
 type DrainStatus struct {
 	Server   string `json:"server"`
