httpserver: end the read of a request that stalls

Cause: only the headers had a read timeout. A caller that stalled in its body held its handler, and the part of the body already read, without end. Ruled out: a read deadline per request from the handler; go-zero wraps the ResponseWriter without Unwrap, so http.ResponseController cannot reach the connection (tried; the deadline had no effect). net/http lifts the timeout when the body was read, so handlers may run longer; the test covers both with a timeout of 200 ms.

--- a/pkg/httpserver/httpserver.go
+++ b/pkg/httpserver/httpserver.go
@@ -21,8 +21,11 @@
 // Limits that keep one caller from exhausting a small instance.
 const (
 	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 32 << 10
+	// defaultReadTimeout is enough for 1 MiB at 300 kbit/s. Without it a
+	// stalled body holds its handler and its memory without end.
+	defaultReadTimeout = 30 * time.Second
+	idleTimeout        = 2 * time.Minute
+	maxHeaderBytes     = 32 << 10
 )
 
 // goZeroForceQuit keeps go-zero's own signal handler, which cannot be
@@ -39,6 +42,9 @@
 	TLS *tls.Config
 	// MaxConnections bounds open connections; more wait in the accept queue.
 	MaxConnections int
+	// ReadTimeout bounds the time to receive a whole request; 0 means 30 s. It
+	// does not bound the handler.
+	ReadTimeout time.Duration
 }
 
 // Server serves one listener.
@@ -81,11 +87,15 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "rest routes")
 	}
+	if cfg.ReadTimeout <= 0 {
+		cfg.ReadTimeout = defaultReadTimeout
+	}
 	return &Server{
 		cfg: cfg,
 		http: &http.Server{
 			Handler:           http.HandlerFunc(handler.Serve),
 			ReadHeaderTimeout: readHeaderTimeout,
+			ReadTimeout:       cfg.ReadTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
 			TLSConfig:         cfg.TLS,
--- /dev/null
+++ b/pkg/httpserver/httpserver_test.go
@@ -0,0 +1,45 @@
+package httpserver
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a caller that stalls in its body and holds the handler and
+// its memory without end, and against a read timeout that cuts the answer of
+// a handler that works longer.
+func TestStalledBody(t *testing.T) {
+	const readTimeout = 200 * time.Millisecond
+	stalled := make(chan bool, 2)
+	s, err := New(Config{Name: "test", ReadTimeout: readTimeout, Fallback: func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(r.Body)
+		stalled <- errors.Is(err, os.ErrDeadlineExceeded)
+		time.Sleep(2 * readTimeout)
+		_, _ = io.WriteString(w, "end")
+	}})
+	require.NoError(t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { require.NoError(t, s.Shutdown(context.Background())) })
+	for body, want := range map[string]bool{"abc": true, "0123456789": false} {
+		c, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+		_, err = io.WriteString(c, "POST /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 10\r\n\r\n"+body)
+		require.NoError(t, err)
+		answer, err := io.ReadAll(c)
+		require.NoError(t, err)
+		require.Contains(t, string(answer), "end")
+		require.Equal(t, want, <-stalled)
+		require.NoError(t, c.Close())
+	}
+}
