entry: fix refusals and headers of the caller interface, with tests

Faults found and fixed: - A request whose first attempt may have run was refused as not run when a later attempt or a hedge found no slot. It now ends as unknown. - A recorded answer that was too large to be kept came back as its status with an empty body. It is now 502 with reason recorded_without_body. - A claim read from the store in place of its owner was not compared with the request's fingerprint, so another body got the recorded answer. - Unknown outcomes of an earlier attempt had an empty reason. - A request that only the shift cap kept away was refused as no_backend_server instead of shift_cap. - Headers named in a Connection header with several names were passed on. - The internal reason peer_unreachable could reach callers; a peer with an older configuration gave the permanent unknown_service instead of not_ready. - The query parameter "client" of a call was taken for the caller's address. - Bodies counted against the memory limit only after they were read. - HEAD answers lost their length, 204 answers had one; refusals lacked the configuration version; next_key was also given by a stopping instance; refusals of lookups and keys were not counted.

--- a/pkg/entry/callers.go
+++ b/pkg/entry/callers.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 	"github.com/zeromicro/go-zero/rest"
 
@@ -22,7 +24,10 @@
 	"github.com/dandelionrack/dandelionrack/pkg/wire"
 )
 
-const callPrefix = "/v1/call/"
+const (
+	callPrefix = "/v1/call/"
+	lookupPath = "/v1/lookup"
+)
 
 // LookupAnswer is the body of GET /v1/lookup.
 type LookupAnswer struct {
@@ -50,7 +55,7 @@
 
 func (e *Entry) callerRoutes() []rest.Route {
 	return []rest.Route{
-		{Method: http.MethodGet, Path: "/v1/lookup", Handler: e.handleLookup},
+		{Method: http.MethodGet, Path: lookupPath, Handler: e.handleLookup},
 		{Method: http.MethodPost, Path: "/v1/keys", Handler: e.handleKeys},
 		{Method: http.MethodGet, Path: "/v1/ready", Handler: e.handleReady},
 	}
@@ -114,10 +119,11 @@
 	return out
 }
 
-// clientAddr is the address that decides the caller's home region.
+// clientAddr is the address that decides the caller's home region. The query
+// of a call belongs to the backend server.
 func (e *Entry) clientAddr(r *http.Request) (netip.Addr, error) {
 	if e.settings.AllowClientAddress {
-		if named := r.URL.Query().Get("client"); named != "" {
+		if named := r.URL.Query().Get("client"); named != "" && r.URL.Path == lookupPath {
 			return netip.ParseAddr(named)
 		}
 		if named := r.Header.Get("Client-Address"); named != "" {
@@ -166,7 +172,6 @@
 	id := newRequestID()
 	req, refusal := e.readRequest(r, id)
 	if refusal != nil {
-		e.metrics.countRefusal(refusal.reason)
 		e.log.Debug("request refused", "request", id, "reason", refusal.reason, "detail", refusal.message)
 		e.refuse(w, id, *refusal)
 		return
@@ -244,22 +249,28 @@
 }
 
 // readBody reads the whole body into memory, within the limits of one request
-// and of this instance.
+// and of this instance. The listener ends the read of a body that stalls.
 func (e *Entry) readBody(r *http.Request) ([]byte, *reply) {
-	if r.ContentLength > e.settings.MaxRequestBytes {
-		return nil, refusal(ReasonTooLarge, "body is larger than %d bytes", e.settings.MaxRequestBytes)
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, e.settings.MaxRequestBytes+1))
-	if err != nil {
-		return nil, refusal(ReasonBadRequest, "body could not be read whole: %v", err)
-	}
-	if int64(len(body)) > e.settings.MaxRequestBytes {
-		return nil, refusal(ReasonTooLarge, "body is larger than %d bytes", e.settings.MaxRequestBytes)
-	}
-	if !e.buffers.acquire(int64(len(body))) {
+	limit := e.settings.MaxRequestBytes
+	if r.ContentLength > limit {
+		return nil, refusal(ReasonTooLarge, "body is larger than %d bytes", limit)
+	}
+	budgeted := &budgetReader{r: r.Body, budget: &e.buffers}
+	body, err := io.ReadAll(io.LimitReader(budgeted, limit+1))
+	if err == nil && int64(len(body)) <= limit {
+		return body, nil
+	}
+	e.buffers.release(budgeted.taken)
+	switch {
+	case err == nil:
+		return nil, refusal(ReasonTooLarge, "body is larger than %d bytes", limit)
+	case errors.Is(err, errBudget):
 		return nil, refusal(ReasonOverload, "bodies in flight use up this entry instance's memory limit")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, refusal(ReasonDeadline, "body was not received in time")
+	default:
+		return nil, refusal(ReasonBadRequest, "body could not be read whole: %v", err)
 	}
-	return body, nil
 }
 
 func refusal(reason Reason, format string, args ...any) *reply {
@@ -320,14 +331,11 @@
 // finish records the end of a request.
 func (e *Entry) finish(req *request, rep reply) {
 	took := time.Since(req.received)
-	good := rep.answered() && rep.status < http.StatusInternalServerError
+	good := rep.whole() && rep.status < http.StatusInternalServerError
 	if limit := req.service.Objective.Latency.Std(); limit > 0 && took > limit {
 		good = false
 	}
 	e.burn.Record(time.Now(), req.contract.Customer, req.service.Name, good)
-	if !rep.answered() {
-		e.metrics.countRefusal(rep.reason)
-	}
 	e.metrics.countOutcome(rep.outcome)
 	e.span(req, trace.Span{
 		Kind:          "end",
@@ -344,12 +352,11 @@
 }
 
 func (e *Entry) writeReply(w http.ResponseWriter, req *request, rep reply) {
-	h := w.Header()
-	h.Set(HeaderConfigVersion, strconv.FormatUint(req.view.doc.Version, 10))
-	if !rep.answered() {
+	if !rep.whole() {
 		e.refuse(w, req.id, rep)
 		return
 	}
+	h := w.Header()
 	for name, values := range endToEndHeader(rep.header) {
 		h[name] = values
 	}
@@ -357,16 +364,38 @@
 	h.Set(HeaderRequestID, req.id)
 	h.Set(HeaderOutcome, outcomeName(rep.outcome))
 	h.Set(HeaderEntry, e.settings.ID)
-	h.Set(HeaderBackendServer, rep.server)
-	if req.method != http.MethodHead {
-		h.Set("Content-Length", strconv.Itoa(len(rep.body)))
+	if rep.server != "" {
+		h.Set(HeaderBackendServer, rep.server)
+	}
+	if length := contentLength(req.method, rep); length != "" {
+		h.Set("Content-Length", length)
 	}
 	w.WriteHeader(rep.status)
 	_, _ = w.Write(rep.body)
 }
 
+// contentLength is the length to announce. An answer without a body keeps the
+// length that the backend server announced.
+func contentLength(method string, rep reply) string {
+	switch {
+	case rep.status == http.StatusNoContent:
+		return ""
+	case method == http.MethodHead, rep.status == http.StatusNotModified:
+		return rep.header.Get("Content-Length")
+	default:
+		return strconv.Itoa(len(rep.body))
+	}
+}
+
 func (e *Entry) refuse(w http.ResponseWriter, id string, rep reply) {
+	e.metrics.countRefusal(rep.reason)
 	status, body := rep.refusal(id)
+	if version := e.configVersion(); version > 0 {
+		w.Header().Set(HeaderConfigVersion, strconv.FormatUint(version, 10))
+	}
+	if status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
 	w.Header().Set(HeaderOutcome, body.Outcome)
 	w.Header().Set(HeaderEntry, e.settings.ID)
 	if id != "" {
--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -184,11 +184,13 @@
 	}
 	contract, ok := v.doc.Contracts[f.GetCustomer()]
 	if !ok {
-		return nil, refusal(ReasonUnknownService, "customer %q has no contract here", f.GetCustomer())
+		// The caller's request was valid where it came in, so this instance
+		// has another version: a state that passes, not a fault of the request.
+		return nil, refusal(ReasonNotReady, "customer %q has no contract at entry instance %s", f.GetCustomer(), e.settings.ID)
 	}
 	svc, ok := contract.FindService(f.GetService())
 	if !ok {
-		return nil, refusal(ReasonUnknownService, "service %q is not in the contract", f.GetService())
+		return nil, refusal(ReasonNotReady, "service %q is in no contract at entry instance %s", f.GetService(), e.settings.ID)
 	}
 	var key claim.Key
 	if f.GetIdempotencyKey() != "" {
--- /dev/null
+++ b/pkg/entry/headers_test.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+)
+
+// Guards against headers that must not pass: those of one connection, the
+// caller's token, and names of this system that a caller or a backend server
+// could forge; and against a lost idempotency key.
+func TestHeaders(t *testing.T) {
+	b := newBed(t)
+	var got http.Header
+	l, err := net.Listen("tcp", b.host+":0")
+	require.NoError(t, err)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/x") {
+			got = r.Header.Clone()
+		}
+		for _, line := range []string{"Connection: X-Hop-Two", "X-Hop-Two: 1", "Keep-Alive: 5", "Dandelionrack-Entry: forged", "X-End: 1"} {
+			name, value, _ := strings.Cut(line, ": ")
+			w.Header().Set(name, value)
+		}
+		_, _ = w.Write([]byte(`{}`))
+	})}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	for i := range b.deployment.BackendServers {
+		if s := &b.deployment.BackendServers[i]; s.ID == "weka-1" {
+			s.Addr = l.Addr().String()
+		}
+	}
+	b.start(0, nil)
+	b.configure(1)
+	key := strings.ToUpper(newRequestID())
+	r := b.call(0, http.MethodPost, "/v1/call/weka/x", "a", []string{
+		keyLine(key), "Connection: X-Hop-One, Te", "X-Hop-One: 1", "Te: trailers", "Proxy-Authorization: x",
+		"Dandelionrack-Request-Id: forged", "Dandelionrack-Outcome: forged", "Request-Timeout-Ms: 900", "X-End: 1",
+	})
+	require.Equal(t, http.StatusOK, r.status)
+	require.Equal(t, strings.ToLower(key), got.Get(HeaderIdempotencyKey))
+	require.Equal(t, r.header.Get(HeaderRequestID), got.Get(HeaderRequestID))
+	require.Regexp(t, `^[0-9]{1,3}$`, got.Get(HeaderRequestTimeout))
+	require.Equal(t, "1", got.Get("X-End"))
+	for _, name := range []string{"Authorization", "Connection", "X-Hop-One", "Te", "Proxy-Authorization", HeaderOutcome} {
+		require.Empty(t, got.Get(name), name)
+	}
+	require.Equal(t, "1", r.header.Get("X-End"))
+	require.Equal(t, "e1", r.header.Get(HeaderEntry))
+	for _, name := range []string{"X-Hop-Two", "Keep-Alive"} {
+		require.Empty(t, r.header.Get(name), name)
+	}
+	again := b.call(0, http.MethodPost, "/v1/call/weka/x", "a", []string{keyLine(strings.ToLower(key))})
+	require.Equal(t, "recorded", again.header.Get(HeaderOutcome))
+	require.Equal(t, "1", again.header.Get("X-End"))
+	require.NotContains(t, again.header, HeaderBackendServer)
+}
+
+// Guards against lookups and keys that a caller cannot use: an order that
+// starts with a far entry instance, a missing lifetime, a key for another run.
+func TestLookupAndKeys(t *testing.T) {
+	b := newBed(t)
+	b.deployment.Links[0].BitsPerSecond = 1e9
+	b.deployment.ClientBlocks = []config.ClientBlock{{Prefix: "10.2.0.0/16", FailureDomain: "d2"}}
+	b.start(0, func(s *Settings) { s.AllowClientAddress = true })
+	_, stop := b.start(1, nil)
+	b.configure(2)
+	first := func(client string) string {
+		var a LookupAnswer
+		r := b.call(0, http.MethodGet, "/v1/lookup?service=bakaa&client="+client, "", nil)
+		require.NoError(t, json.Unmarshal(r.body, &a), "%s", r.body)
+		require.Equal(t, LookupAnswer{"salio", 2, 50, a.Entries}, a)
+		if len(a.Entries) < 2 {
+			return ""
+		}
+		return a.Entries[0].ID + " " + a.Entries[0].Region
+	}
+	b.until("both entry instances", func() bool { return first("10.2.0.1") == "e2 r2" })
+	require.Equal(t, "e1 r1", first("10.1.0.1"))
+	var k KeyAnswer
+	r := b.call(1, http.MethodPost, "/v1/keys?service=amana", "", nil)
+	require.NoError(t, json.Unmarshal(r.body, &k))
+	require.Equal(t, "weka", k.Service)
+	require.True(t, strings.HasPrefix(k.Key, "e1.e2."))
+	// The other entry instance passes the request on to the one that issued
+	// the key, also when that one has no backend server of the service.
+	r = b.call(0, http.MethodPost, "/v1/call/weka/x", "a", []string{keyLine(k.Key)})
+	require.Equal(t, http.StatusOK, r.status, "%s", r.body)
+	r = b.call(1, http.MethodPost, "/v1/call/weka/x", "a", []string{keyLine(k.Key)})
+	require.Equal(t, "recorded", r.header.Get(HeaderOutcome))
+	// Without the issuer, the copy of the claim answers its own request only.
+	stop()
+	r = b.call(0, http.MethodPost, "/v1/call/weka/x", "a", []string{keyLine(k.Key)})
+	require.Equal(t, "recorded", r.header.Get(HeaderOutcome), "%s", r.body)
+	r = b.call(0, http.MethodPost, "/v1/call/weka/x", "b", []string{keyLine(k.Key)})
+	require.Equal(t, ReasonKeyMismatch, r.refusal.Reason, "%s", r.body)
+	for _, path := range []string{"/v1/lookup?service=none1", "/v1/keys?service="} {
+		method := map[bool]string{true: http.MethodGet, false: http.MethodPost}[strings.Contains(path, "lookup")]
+		require.Equal(t, ReasonUnknownService, b.call(0, method, path, "", nil).refusal.Reason)
+		require.Equal(t, ReasonUnauthorized, b.call(0, method, path, "", []string{"Authorization: x"}).refusal.Reason)
+	}
+}
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/dandelionrack/dandelionrack/pkg/wire"
 )
 
 // place is where an attempt is now.
@@ -63,7 +65,7 @@
 	default:
 		h.excludeEntries = append(h.excludeEntries, at.entry)
 	}
-	if len(h.plan()) == 0 || !s.e.allowRetry(s.req) {
+	if places, _ := h.plan(); len(places) == 0 || !s.e.allowRetry(s.req) {
 		return nil
 	}
 	s.attempt++
@@ -71,7 +73,8 @@
 	return h
 }
 
-// firstAnswer returns the first answer, or the last failure.
+// firstAnswer returns the first answer, or a failure. An attempt that may have
+// run counts more than one that was refused.
 func (s *steering) firstAnswer(ctx context.Context, race *race, runners int) reply {
 	var last reply
 	for range runners {
@@ -80,7 +83,9 @@
 			if rep.answered() {
 				return rep
 			}
-			last = rep
+			if last.outcome != wire.Outcome_OUTCOME_UNKNOWN {
+				last = rep
+			}
 		case <-ctx.Done():
 			race.cancel()
 			return s.abandoned()
--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -62,6 +62,8 @@
 	case claim.Recorded:
 		return reply{
 			outcome: wire.Outcome_OUTCOME_RECORDED,
+			reason:  Reason(d.Reason),
+			message: recordedMessage(d),
 			status:  d.Result.Status,
 			header:  d.Result.Header,
 			body:    d.Result.Body,
@@ -69,15 +71,33 @@
 		}
 	case claim.NotRun:
 		rep := notRun(Reason(d.Reason), "%s", d.Detail)
-		if rep.reason == ReasonStoreUnavailable && !req.key.Issued {
+		// A key of an instance that stops would be lost with it.
+		ready := e.state() == wire.EntryState_ENTRY_STATE_READY
+		if rep.reason == ReasonStoreUnavailable && !req.key.Issued && ready {
 			rep.nextKey = claim.NewIssuedKey(e.self, time.Now())
 		}
 		return rep
 	default:
-		return unknownOutcome(Reason(d.Reason), "%s", d.Detail)
+		return unknownOutcome(unknownReason(d), "%s", d.Detail)
 	}
 }
 
+func recordedMessage(d claim.Decision) string {
+	if d.Reason == "" {
+		return ""
+	}
+	return "the request ran; its answer was too large to be kept"
+}
+
+// unknownReason names the reason of an unknown outcome of an earlier attempt,
+// which the claim keeps as text only.
+func unknownReason(d claim.Decision) Reason {
+	if d.Reason == claim.ReasonDeadline {
+		return ReasonInProgress
+	}
+	return ReasonConnectionLost
+}
+
 // passToOwner sends the request to the incarnation that holds its claim.
 func (e *Entry) passToOwner(ctx context.Context, req *request, owner claim.Incarnation) reply {
 	target, ok := req.view.entries[owner.Entry]
@@ -97,6 +117,10 @@
 // lookupClaim answers from the table service when the owner cannot be reached.
 func (e *Entry) lookupClaim(ctx context.Context, req *request, owner claim.Incarnation) reply {
 	d := e.claims.Lookup(ctx, req.claimID())
+	found := d.Fingerprint != claim.Fingerprint{}
+	if found && d.Fingerprint != req.fingerprint() {
+		return notRun(ReasonKeyMismatch, "the key was used for another request")
+	}
 	if d.Verdict == claim.Recorded || d.Verdict == claim.NotRun {
 		return e.claimReply(req, d)
 	}
--- a/pkg/entry/outcome.go
+++ b/pkg/entry/outcome.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/dandelionrack/dandelionrack/pkg/claim"
 	"github.com/dandelionrack/dandelionrack/pkg/wire"
 )
 
@@ -35,6 +36,10 @@
 	ReasonConnectionLost   Reason = "connection_lost"
 	ReasonOwnerUnreachable Reason = "owner_unreachable"
 	ReasonInProgress       Reason = "in_progress"
+
+	// ReasonRecordedWithoutBody marks a request that ran and whose answer was
+	// too large to be kept with its claim.
+	ReasonRecordedWithoutBody Reason = claim.ReasonRecordedWithoutBody
 )
 
 // statusOf maps a reason of a "not run" refusal to an HTTP status. Reasons
@@ -79,6 +84,11 @@
 	return r.outcome == wire.Outcome_OUTCOME_ANSWERED || r.outcome == wire.Outcome_OUTCOME_RECORDED
 }
 
+// whole reports whether the reply holds the whole answer of a backend server.
+func (r reply) whole() bool {
+	return r.answered() && r.reason == ""
+}
+
 func (r reply) isNotRun() bool {
 	return r.outcome == wire.Outcome_OUTCOME_NOT_RUN
 }
@@ -105,6 +115,8 @@
 	Message      string `json:"message"`
 	RequestID    string `json:"request_id"`
 	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+	// RecordedStatus is the status of the answer that was not kept.
+	RecordedStatus int `json:"recorded_status,omitempty"`
 	// NextKey is an entry-issued key that the caller may use in place of its
 	// own key, if every attempt with its own key ended as not run.
 	NextKey string `json:"next_key,omitempty"`
@@ -122,6 +134,10 @@
 		RequestID: requestID,
 		NextKey:   r.nextKey,
 	}
+	if r.answered() {
+		body.RecordedStatus = r.status
+		return http.StatusBadGateway, body
+	}
 	if !r.isNotRun() {
 		return http.StatusGatewayTimeout, body
 	}
--- /dev/null
+++ b/pkg/entry/pitfalls_test.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	backendstandin "github.com/dandelionrack/dandelionrack/internal/standin/backend"
+)
+
+// Guards against two habits of go-zero: its Timeout middleware answers 503
+// after 3 s while the handler still runs, and its signal handler ends the
+// process 5.5 s after SIGTERM. The request here lasts longer than both, and
+// the stop begins while it runs.
+func TestLongRequestSurvivesStop(t *testing.T) {
+	// As in cmd/drentry: a channel that stays registered keeps the second
+	// signal, which go-zero sends to the process, from ending it.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM)
+	t.Cleanup(func() { signal.Stop(signals) })
+	b := newBed(t)
+	_, stop := b.start(0, nil)
+	b.configure(1)
+	var long sync.WaitGroup
+	long.Go(func() {
+		r := b.call(0, http.MethodGet, "/v1/call/single/x", "", []string{backendstandin.ServiceTimeHeader + ": 7500ms"})
+		require.Equal(t, http.StatusOK, r.status, "%s", r.body)
+	})
+	time.Sleep(300 * time.Millisecond)
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	<-signals
+	started := time.Now()
+	stop()
+	long.Wait()
+	require.Greater(t, time.Since(started), 6*time.Second)
+	require.Empty(t, signals, "go-zero tried to end the process")
+}
+
+// Guards against a circuit breaker between entry instance and backend server:
+// after many refused connections the first request to a server that is back
+// must reach it.
+func TestNoBreakerAfterRefusedConnections(t *testing.T) {
+	b := newBed(t)
+	b.start(0, nil)
+	b.configure(1)
+	for range 200 {
+		require.Equal(t, http.StatusServiceUnavailable, b.call(0, http.MethodGet, "/v1/call/gone/x", "", nil).status)
+	}
+	settings := backendstandin.DefaultSettings()
+	for _, s := range b.deployment.BackendServers {
+		if s.ID == "gone-1" {
+			settings.Servers = []backendstandin.ServerSettings{{ID: s.ID, Addr: s.Addr, Slots: s.Slots}}
+		}
+	}
+	fleet, err := backendstandin.Start(settings)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = fleet.Close() })
+	for range 20 {
+		r := b.call(0, http.MethodGet, "/v1/call/gone/x", "", nil)
+		require.Equal(t, http.StatusOK, r.status, "%s", r.body)
+	}
+}
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/dandelionrack/dandelionrack/pkg/claim"
@@ -67,8 +68,10 @@
 	if out == nil {
 		out = http.Header{}
 	}
-	for _, name := range h.Values("Connection") {
-		out.Del(name)
+	for _, list := range h.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
 	}
 	for _, name := range hopHeaders {
 		out.Del(name)
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -34,13 +34,14 @@
 	// MaxRequestBytes and MaxResponseBytes bound bodies.
 	MaxRequestBytes  int64 `json:"max_request_bytes,omitempty"`
 	MaxResponseBytes int64 `json:"max_response_bytes,omitempty"`
-	// MaxBufferedBytes bounds the request and response bodies that are held in
+	// MaxBufferedBytes bounds the bodies of callers' requests that are held in
 	// memory at one time.
 	MaxBufferedBytes int64 `json:"max_buffered_bytes,omitempty"`
 	// MaxCallerConnections bounds open connections of callers.
 	MaxCallerConnections int `json:"max_caller_connections,omitempty"`
-	// AllowClientAddress lets a lookup name the caller's address in the query,
-	// for callers behind a common address.
+	// AllowClientAddress lets a caller name its address in the header
+	// Client-Address or, in a lookup, in the query, for callers behind a
+	// common address.
 	AllowClientAddress bool `json:"allow_client_address,omitempty"`
 	// AddressMap replaces addresses of peers and backend servers by the ones
 	// through which they are reached from here, for address translation
--- a/pkg/entry/steer.go
+++ b/pkg/entry/steer.go
@@ -43,16 +43,31 @@
 func (e *Entry) steer(ctx context.Context, req *request) reply {
 	e.countRequest(req)
 	s := &steering{e: e, req: req}
+	mayHaveRun := false
 	for {
 		rep := s.tryHedged(ctx)
+		mayHaveRun = mayHaveRun || rep.outcome == wire.Outcome_OUTCOME_UNKNOWN
 		if !s.mayRetry(ctx, rep) {
-			return rep
+			return forCaller(rep, mayHaveRun)
 		}
 		s.exclude(rep)
 		e.metrics.retries.Add(1)
 	}
 }
 
+// forCaller makes a reply speak for the request and not only for its last
+// attempt: "not run" must hold for every attempt.
+func forCaller(rep reply, mayHaveRun bool) reply {
+	if rep.reason == reasonPeerUnreachable {
+		rep = notRun(ReasonOverload, "no entry instance with a slot could be reached")
+	}
+	if rep.isNotRun() && mayHaveRun {
+		return unknownOutcome(ReasonConnectionLost,
+			"an earlier attempt may have run; the last one was refused: %s: %s", rep.reason, rep.message)
+	}
+	return rep
+}
+
 // exclude keeps later attempts away from what has just failed.
 func (s *steering) exclude(rep reply) {
 	if rep.server != "" {
@@ -86,17 +101,20 @@
 // try looks for a free slot at the planned places, then waits for one.
 func (s *steering) try(ctx context.Context) reply {
 	rep := s.tryFree(ctx)
-	if !rep.isNotRun() || rep.server != "" {
-		return rep
+	if rep.isNotRun() && rep.server == "" {
+		return s.wait(ctx, rep)
 	}
-	return s.wait(ctx, rep)
+	return rep
 }
 
 // tryFree asks the planned places for a free slot, best first.
 func (s *steering) tryFree(ctx context.Context) reply {
 	s.attempt++
-	plan := s.plan()
+	plan, capped := s.plan()
 	last := notRun(ReasonNoBackendServer, "no entry instance can take a request for service %s", s.req.service.Name)
+	if capped {
+		last = notRun(ReasonShiftCap, "the shift cap keeps requests of home region %s out of the regions with free slots", s.req.homeRegion)
+	}
 	for _, c := range plan[:min(len(plan), maxPlaces)] {
 		last = s.tryPlace(ctx, c, true)
 		if !last.isNotRun() || last.server != "" {
@@ -113,11 +131,7 @@
 	if !ok {
 		return refused
 	}
-	rep := s.tryPlace(ctx, place, false)
-	if rep.isNotRun() && rep.reason == reasonPeerUnreachable {
-		return notRun(ReasonOverload, "no entry instance with a slot could be reached")
-	}
-	return rep
+	return s.tryPlace(ctx, place, false)
 }
 
 // waitingPlace is the first place of the routing order that has servers of the
@@ -147,11 +161,18 @@
 	return false
 }
 
-// plan returns the places to ask for a free slot, best first.
-func (s *steering) plan() []routing.Candidate {
-	candidates, excluded := routing.Plan(s.input())
+// plan returns the places to ask for a free slot, best first, and whether only
+// the shift cap excludes a place with a free slot.
+func (s *steering) plan() (places []routing.Candidate, capped bool) {
+	in := s.input()
+	free := map[string]int{in.Self.Entry: in.LocalFree}
+	for _, p := range in.Peers {
+		free[p.Entry] = p.Free
+	}
+	candidates, excluded := routing.Plan(in)
 	for _, x := range excluded {
 		s.e.metrics.routeExclusions.Add(x.Reason, 1)
+		capped = capped || x.Reason == routing.ReasonNotPermitted && free[x.Entry] > 0
 	}
 	out := candidates[:0]
 	for _, c := range candidates {
@@ -160,7 +181,7 @@
 		}
 		out = append(out, c)
 	}
-	return out
+	return out, capped
 }
 
 func (s *steering) input() routing.Input {
