--- /dev/null
+++ b/pkg/entry/peers_test.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dandelionrack/dandelionrack/pkg/peer"
+	"github.com/dandelionrack/dandelionrack/pkg/wire"
+)
+
+// strayPeer reports free slots and answers every request with the answer to
+// another one.
+type strayPeer struct{}
+
+func (strayPeer) Handle(_ context.Context, req *wire.Request) *wire.Response {
+	if f := req.GetForward(); f != nil {
+		return &wire.Response{Reply: &wire.Response_Forward{Forward: &wire.ForwardReply{
+			RequestId: newRequestID(), Attempt: f.GetAttempt(), Entry: "e2",
+			Outcome: wire.Outcome_OUTCOME_ANSWERED, Status: http.StatusOK, Body: []byte("of another request"),
+		}}}
+	}
+	return &wire.Response{Reply: &wire.Response_Heartbeat{Heartbeat: &wire.Heartbeat{
+		Entry: "e2", Incarnation: 1, State: wire.EntryState_ENTRY_STATE_READY,
+		Sequence: uint64(time.Now().UnixNano()), FreeSlots: map[string]int32{"narrow": 9},
+	}}}
+}
+
+// Guards against an answer that reaches the caller of another request.
+func TestStrayReplyIsDropped(t *testing.T) {
+	b := newBed(t)
+	b.deployment.Links[0].BitsPerSecond = 1e9
+	l, err := net.Listen("tcp", b.deployment.EntryInstances[1].PeerAddr)
+	require.NoError(t, err)
+	server := peer.NewServer(peer.Config{Self: "e2", Incarnation: 1, Handler: strayPeer{}})
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Shutdown(context.Background()) })
+	e, _ := b.start(0, nil)
+	b.configure(1)
+	b.until("a forwarded request", func() bool {
+		r := b.call(0, http.MethodGet, "/v1/call/narrow/x", "", nil)
+		require.NotContains(t, string(r.body), "of another request")
+		return r.status == http.StatusGatewayTimeout && r.refusal.Reason == ReasonConnectionLost
+	})
+	require.Positive(t, e.metrics.mismatchedReplies.Value())
+}
+
+// authority is a certificate authority of a test.
+type authority struct {
+	t    *testing.T
+	dir  string
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{t: t, dir: t.TempDir()}
+	a.cert, a.key = a.issue("ca", nil)
+	return a
+}
+
+// issue writes a certificate and its key for a name; without a parent it is a
+// certificate authority.
+func (a *authority) issue(name string, parent *x509.Certificate) (*x509.Certificate, *ecdsa.PrivateKey) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(a.t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: parent == nil, BasicConstraintsValid: true,
+	}
+	signer := a.key
+	if parent == nil {
+		parent, signer = template, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+	require.NoError(a.t, err)
+	private, err := x509.MarshalECPrivateKey(key)
+	require.NoError(a.t, err)
+	a.write(name+".pem", "CERTIFICATE", der)
+	a.write(name+".key", "EC PRIVATE KEY", private)
+	cert, err := x509.ParseCertificate(der)
+	require.NoError(a.t, err)
+	return cert, key
+}
+
+func (a *authority) write(file, kind string, der []byte) {
+	data := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	require.NoError(a.t, os.WriteFile(filepath.Join(a.dir, file), data, 0o600))
+}
+
+func (a *authority) settings(s *Settings) {
+	a.issue("entry", a.cert)
+	file := func(name string) string { return filepath.Join(a.dir, name) }
+	s.PeerTLS = &PeerTLSFiles{CertFile: file("entry.pem"), KeyFile: file("entry.key"), CAFile: file("ca.pem"), ServerName: "entry"}
+}
+
+// Guards against peers that work without TLS although it is configured, and
+// against a peer whose certificate another authority has signed.
+func TestPeerTLS(t *testing.T) {
+	b := newBed(t)
+	b.deployment.Links[0].BitsPerSecond = 1e9
+	ours := newAuthority(t)
+	b.start(0, ours.settings)
+	_, stop := b.start(1, ours.settings)
+	b.configure(2)
+	served := func() bool {
+		return b.call(0, http.MethodGet, "/v1/call/narrow/x", "", nil).status == http.StatusOK
+	}
+	b.until("a request over TLS", served)
+	stop()
+	for _, change := range []func(*Settings){newAuthority(t).settings, nil} {
+		_, stop := b.start(1, change)
+		b.until("configuration", func() bool { return b.call(1, http.MethodGet, "/v1/ready", "", nil).status == http.StatusOK })
+		require.Never(t, served, 2*time.Second, 100*time.Millisecond)
+		stop()
+	}
+}
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -1,12 +1,13 @@
 package entry
 
 import (
-	"net"
+	"net/netip"
 	"net/url"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/dandelionrack/dandelionrack/pkg/claim"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/findings"
 )
@@ -111,6 +112,9 @@
 // Check adds a finding for every problem of the settings.
 func (s *Settings) Check(l *findings.List) {
 	required(l, "id", s.ID)
+	if s.ID != "" && !validID(s.ID) {
+		l.Add("id", "must be 1 to 64 letters, digits, dots, dashes or underscores, got %q", s.ID)
+	}
 	required(l, "failure_domain", s.FailureDomain)
 	required(l, "operator_token", s.OperatorToken)
 	addrs := map[string]string{}
@@ -188,9 +192,16 @@
 	seen[addr] = path
 }
 
+// validID reports whether the keys that an entry instance of this id issues
+// can be read again.
+func validID(id string) bool {
+	_, err := claim.ParseKey(claim.NewIssuedKey(claim.Incarnation{Entry: id}, time.Now()))
+	return err == nil
+}
+
 func validHostPort(addr string) bool {
-	host, port, err := net.SplitHostPort(addr)
-	return err == nil && net.ParseIP(host) != nil && port != ""
+	ap, err := netip.ParseAddrPort(addr)
+	return err == nil && ap.Port() != 0
 }
 
 // reach returns the address through which a configured address is reached.
