--- a/pkg/entry/headers_test.go
+++ b/pkg/entry/headers_test.go
@@ -107,3 +107,34 @@
 		require.Equal(t, ReasonUnauthorized, b.call(0, method, path, "", []string{"Authorization: x"}).refusal.Reason)
 	}
 }
+
+// Guards against counters that monitoring cannot read, or that need the
+// operator token, and against an operator API that does not need it.
+func TestOperatorListener(t *testing.T) {
+	b := newBed(t)
+	b.start(0, nil)
+	b.configure(1)
+	require.Equal(t, http.StatusOK, b.call(0, http.MethodGet, "/v1/call/salio/x", "", nil).status)
+	b.call(0, http.MethodGet, "/v1/lookup?service=nothing", "", nil)
+	base := "http://" + b.deployment.EntryInstances[0].OperatorAddr
+	resp, err := http.Get(base + "/debug/vars")
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	var got struct {
+		Counters struct {
+			Requests int            `json:"requests"`
+			Refusals map[Reason]int `json:"refusals"`
+		} `json:"dandelionrack"`
+		State vars `json:"state"`
+	}
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(&got))
+	require.Positive(t, got.Counters.Requests)
+	require.Equal(t, 1, got.Counters.Refusals[ReasonUnknownService])
+	require.Len(t, got.State.Servers, 4, "servers of the own failure domain")
+	require.Contains(t, got.State.Queues, "salio")
+	require.Contains(t, got.State.Links, "r2")
+	closed, err := http.Get(base + "/v1/status")
+	require.NoError(t, err)
+	require.NoError(t, closed.Body.Close())
+	require.Equal(t, http.StatusUnauthorized, closed.StatusCode)
+}
--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -14,9 +14,12 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"github.com/dandelionrack/dandelionrack/pkg/admission"
+	"github.com/dandelionrack/dandelionrack/pkg/budget"
 	"github.com/dandelionrack/dandelionrack/pkg/burn"
+	"github.com/dandelionrack/dandelionrack/pkg/claim"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/operator"
+	"github.com/dandelionrack/dandelionrack/pkg/peer"
 	"github.com/dandelionrack/dandelionrack/pkg/platform"
 	"github.com/dandelionrack/dandelionrack/pkg/trace"
 	"github.com/dandelionrack/dandelionrack/pkg/wire"
@@ -37,14 +40,66 @@
 // and are open, as monitoring expects.
 func (e *Entry) handleVars(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
-	servers, _ := json.Marshal(e.serverStatus())
-	_, _ = fmt.Fprintf(w, "{\n\"dandelionrack\": %s,\n\"servers\": %s", e.metrics.root.String(), servers)
+	state, _ := json.Marshal(e.vars())
+	_, _ = fmt.Fprintf(w, "{\n\"dandelionrack\": %s,\n\"state\": %s", e.metrics.root.String(), state)
 	expvar.Do(func(kv expvar.KeyValue) {
 		_, _ = fmt.Fprintf(w, ",\n%q: %s", kv.Key, kv.Value)
 	})
 	_, _ = fmt.Fprint(w, "\n}\n")
 }
 
+// vars is the state that is read when it is asked for, not counted.
+type vars struct {
+	Servers []admission.ServerStatus `json:"servers"`
+	// Queues holds the queued requests by service.
+	Queues map[string]int `json:"queues"`
+	// Links holds the bytes that may be sent now, by region.
+	Links  map[string]float64  `json:"link_bytes_available"`
+	Claims claim.Stats         `json:"claims"`
+	Trace  trace.ArchiverStats `json:"trace_archive"`
+	Peers  peer.Stats          `json:"peer_server"`
+}
+
+func (e *Entry) vars() vars {
+	out := vars{
+		Servers: e.serverStatus(),
+		Queues:  map[string]int{},
+		Links:   map[string]float64{},
+		Claims:  e.claims.Stats(),
+		Trace:   e.archiver.Stats(),
+		Peers:   e.peerServer.Stats(),
+	}
+	v := e.currentView()
+	if v == nil {
+		return out
+	}
+	e.gate.read(func(ctl *admission.Controller, _ time.Time) {
+		for service := range v.byService {
+			out.Queues[service] = ctl.QueueLength(service)
+		}
+	})
+	e.limits.mu.Lock()
+	defer e.limits.mu.Unlock()
+	for _, region := range v.doc.Deployment.Regions {
+		if region.Name != v.region {
+			pair := budget.LinkPair{From: v.region, To: region.Name}
+			out.Links[region.Name] = e.limits.links.Available(time.Now(), pair)
+		}
+	}
+	return out
+}
+
+// freeSlots counts the free slots of this seat by service.
+func (e *Entry) freeSlots(v *view) map[string]int {
+	out := map[string]int{}
+	e.gate.read(func(ctl *admission.Controller, now time.Time) {
+		for service := range v.byService {
+			out[service] = ctl.Free(now, service)
+		}
+	})
+	return out
+}
+
 func (e *Entry) serverStatus() []admission.ServerStatus {
 	var out []admission.ServerStatus
 	e.gate.read(func(ctl *admission.Controller, now time.Time) { out = ctl.Snapshot(now) })
@@ -241,6 +296,7 @@
 	for i := range out.Entries {
 		if out.Entries[i].ID == e.settings.ID {
 			out.Entries[i].State = string(stateFromWire(e.state()))
+			out.Entries[i].FreeSlots = e.freeSlots(v)
 		}
 	}
 	for _, st := range e.serverStatus() {
@@ -298,7 +354,6 @@
 		ConfigVersion: e.configVersion(),
 		StartedAt:     e.started,
 		StoreOK:       !errors.Is(err, platform.ErrUnavailable) && err == nil,
-		FreeSlots:     map[string]int{},
 	}
 	e.membersMu.Lock()
 	for _, st := range e.members.Peers(time.Now()) {
@@ -307,11 +362,7 @@
 	e.membersMu.Unlock()
 	if v := e.currentView(); v != nil {
 		out.Region = v.region
-		e.gate.read(func(ctl *admission.Controller, now time.Time) {
-			for service := range v.byService {
-				out.FreeSlots[service] = ctl.Free(now, service)
-			}
-		})
+		out.FreeSlots = e.freeSlots(v)
 	}
 	return out, nil
 }
