Never call a request not run when an attempt of it may have run

Found by review: (1) an idempotent request whose first attempt ended as unknown and whose second was refused was answered as not_run; (2) when a key's owner was asked and this instance refused for its own reasons (deadline, link budget) or a new process at the owner's address was not ready, the caller was told not_run about a key that may have run. Both now end as unknown or by a lookup of the stored claim. Refusals of at-most-once services say with applies_to whether they speak for the key or for this attempt only.

--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -116,6 +116,8 @@
 		body:    f.GetBody(),
 		server:  f.GetBackendServer(),
 		entry:   f.GetEntry(),
+
+		appliesTo: AppliesTo(f.GetAppliesTo()),
 	}
 }
 
@@ -151,11 +153,16 @@
 		Body:          rep.body,
 		BackendServer: rep.server,
 		Entry:         e.settings.ID,
+		AppliesTo:     string(rep.appliesTo),
 	}}}
 }
 
 func (e *Entry) serveForward(ctx context.Context, f *wire.Forward) reply {
 	req, bad := e.forwardedRequest(f)
+	if bad != nil && f.GetOwner() {
+		// A process that has just replaced the owner cannot speak for the key.
+		return unknownOutcome(ReasonOwnerUnreachable, "%s", bad.message)
+	}
 	if bad != nil {
 		return *bad
 	}
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -80,7 +80,7 @@
 			if rep.answered() {
 				return rep
 			}
-			last = rep
+			last = worse(last, rep)
 		case <-ctx.Done():
 			race.cancel()
 			return s.abandoned()
--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -50,6 +50,7 @@
 		ticket.Done(claim.Result{Status: rep.status, Header: rep.header, Body: rep.body})
 	case rep.isNotRun():
 		ticket.NotRun(string(rep.reason))
+		rep.appliesTo = AppliesToKey
 	default:
 		ticket.Unknown(string(rep.reason) + ": " + rep.message)
 	}
@@ -69,6 +70,7 @@
 		}
 	case claim.NotRun:
 		rep := notRun(Reason(d.Reason), "%s", d.Detail)
+		rep.appliesTo = AppliesToAttempt
 		if rep.reason == ReasonStoreUnavailable && !req.key.Issued {
 			rep.nextKey = claim.NewIssuedKey(e.self, time.Now())
 		}
@@ -85,10 +87,9 @@
 		return e.lookupClaim(ctx, req, owner)
 	}
 	rep := e.forward(ctx, req, forwardOptions{entry: target, owner: true})
-	if rep.isNotRun() && rep.reason == reasonPeerUnreachable {
-		return e.lookupClaim(ctx, req, owner)
-	}
-	if rep.outcome == wire.Outcome_OUTCOME_UNKNOWN && rep.reason == ReasonConnectionLost {
+	// Only the owner can say that the key did not run. A refusal without its
+	// name was made here, before or instead of asking it.
+	if rep.entry == "" && !rep.answered() {
 		return e.lookupClaim(ctx, req, owner)
 	}
 	return rep
@@ -97,6 +98,9 @@
 // lookupClaim answers from the table service when the owner cannot be reached.
 func (e *Entry) lookupClaim(ctx context.Context, req *request, owner claim.Incarnation) reply {
 	d := e.claims.Lookup(ctx, req.claimID())
+	if d.Fingerprint != (claim.Fingerprint{}) && d.Fingerprint != req.fingerprint() {
+		return notRun(ReasonKeyMismatch, "the key was used with another method, path or body")
+	}
 	if d.Verdict == claim.Recorded || d.Verdict == claim.NotRun {
 		return e.claimReply(req, d)
 	}
--- a/pkg/entry/outcome.go
+++ b/pkg/entry/outcome.go
@@ -51,6 +51,19 @@
 	ReasonBadRequest:     http.StatusBadRequest,
 }
 
+// AppliesTo says how far a "not run" refusal reaches.
+type AppliesTo string
+
+// Reaches of a refusal.
+const (
+	// AppliesToKey: no attempt with this key has run.
+	AppliesToKey AppliesTo = "key"
+	// AppliesToAttempt: this attempt did not run; nothing is said about
+	// earlier attempts with the same key, because their record could not be
+	// read.
+	AppliesToAttempt AppliesTo = "attempt"
+)
+
 // reply is the end of a request: an answer of a backend server or a typed
 // refusal.
 type reply struct {
@@ -62,6 +75,8 @@
 	header http.Header
 	body   []byte
 
+	appliesTo AppliesTo
+
 	server  string // backend server that answered
 	entry   string // entry instance that called it
 	nextKey string // entry-issued key offered in place of a caller-made one
@@ -105,6 +120,8 @@
 	Message      string `json:"message"`
 	RequestID    string `json:"request_id"`
 	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+	// AppliesTo is set for services that run at most once.
+	AppliesTo AppliesTo `json:"applies_to,omitempty"`
 	// NextKey is an entry-issued key that the caller may use in place of its
 	// own key, if every attempt with its own key ended as not run.
 	NextKey string `json:"next_key,omitempty"`
@@ -121,6 +138,7 @@
 		Message:   r.message,
 		RequestID: requestID,
 		NextKey:   r.nextKey,
+		AppliesTo: r.appliesTo,
 	}
 	if !r.isNotRun() {
 		return http.StatusGatewayTimeout, body
--- a/pkg/entry/steer.go
+++ b/pkg/entry/steer.go
@@ -43,16 +43,27 @@
 func (e *Entry) steer(ctx context.Context, req *request) reply {
 	e.countRequest(req)
 	s := &steering{e: e, req: req}
+	var mayHaveRun reply // an earlier attempt whose outcome is unknown
 	for {
-		rep := s.tryHedged(ctx)
+		rep := worse(mayHaveRun, s.tryHedged(ctx))
 		if !s.mayRetry(ctx, rep) {
 			return rep
 		}
+		mayHaveRun = worse(mayHaveRun, rep)
 		s.exclude(rep)
 		e.metrics.retries.Add(1)
 	}
 }
 
+// worse keeps an unknown outcome over a later refusal: the request as a whole
+// must not be called "not run" when one attempt may have run.
+func worse(earlier, later reply) reply {
+	if earlier.outcome == wire.Outcome_OUTCOME_UNKNOWN && later.isNotRun() {
+		return earlier
+	}
+	return later
+}
+
 // exclude keeps later attempts away from what has just failed.
 func (s *steering) exclude(rep reply) {
 	if rep.server != "" {
