--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -144,6 +144,7 @@
 		Routes:         e.callerRoutes(),
 		Fallback:       e.handleCall,
 		MaxConnections: e.settings.MaxCallerConnections,
+		Closing:        e.leaving.Load,
 	})
 	if err != nil {
 		return err
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -34,8 +34,7 @@
 	case rep := <-race.results:
 		return rep
 	case <-ctx.Done():
-		race.cancel()
-		return s.abandoned()
+		return race.abandon()
 	case <-timer.C:
 	}
 	runners := 1
@@ -82,15 +81,25 @@
 			}
 			last = worse(last, rep)
 		case <-ctx.Done():
-			race.cancel()
-			return s.abandoned()
+			return worse(last, race.abandon())
 		}
 	}
 	return last
 }
 
-func (s *steering) abandoned() reply {
-	return unknownOutcome(ReasonConnectionLost, "no answer before the deadline")
+// abandonGrace is how long the last result is waited for after the deadline.
+// Attempts end at the same deadline, and their result is more precise.
+const abandonGrace = 20 * time.Millisecond
+
+// abandon cancels the attempts when the caller's time is over.
+func (r *race) abandon() reply {
+	r.cancel()
+	select {
+	case rep := <-r.results:
+		return rep
+	case <-time.After(abandonGrace):
+		return unknownOutcome(ReasonConnectionLost, "no answer before the deadline")
+	}
 }
 
 // race runs attempts that may outlive the caller's request, up to its deadline.
--- a/pkg/httpserver/httpserver.go
+++ b/pkg/httpserver/httpserver.go
@@ -37,6 +37,10 @@
 	Fallback http.HandlerFunc
 	// TLS is used when it is not nil.
 	TLS *tls.Config
+	// Closing reports that the server is about to stop. Answers then ask the
+	// client to close its connection, so that none is idle at the shutdown and
+	// no request meets a closing connection.
+	Closing func() bool
 	// MaxConnections bounds open connections; more wait in the accept queue.
 	MaxConnections int
 }
@@ -84,7 +88,7 @@
 	return &Server{
 		cfg: cfg,
 		http: &http.Server{
-			Handler:           http.HandlerFunc(handler.Serve),
+			Handler:           closeWhen(cfg.Closing, handler.Serve),
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
@@ -93,6 +97,15 @@
 	}, nil
 }
 
+func closeWhen(closing func() bool, next http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if closing != nil && closing() {
+			w.Header().Set("Connection", "close")
+		}
+		next(w, r)
+	})
+}
+
 // Serve accepts connections until Shutdown. It returns nil after a shutdown.
 func (s *Server) Serve(l net.Listener) error {
 	l = limitConnections(l, s.cfg.MaxConnections)
