--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -34,7 +34,7 @@
 	case rep := <-race.results:
 		return rep
 	case <-ctx.Done():
-		return race.abandon()
+		return race.abandon(1)
 	case <-timer.C:
 	}
 	runners := 1
@@ -73,7 +73,7 @@
 // firstAnswer returns the first answer, or the last failure.
 func (s *steering) firstAnswer(ctx context.Context, race *race, runners int) reply {
 	var last reply
-	for range runners {
+	for pending := runners; pending > 0; pending-- {
 		select {
 		case rep := <-race.results:
 			if rep.answered() {
@@ -81,7 +81,7 @@
 			}
 			last = worse(last, rep)
 		case <-ctx.Done():
-			return worse(last, race.abandon())
+			return worse(last, race.abandon(pending))
 		}
 	}
 	return last
@@ -91,15 +91,24 @@
 // Attempts end at the same deadline, and their result is more precise.
 const abandonGrace = 20 * time.Millisecond
 
-// abandon cancels the attempts when the caller's time is over.
-func (r *race) abandon() reply {
+// abandon cancels the attempts when the caller's time is over. The request is
+// not run only if every pending attempt says so.
+func (r *race) abandon(pending int) reply {
 	r.cancel()
-	select {
-	case rep := <-r.results:
-		return rep
-	case <-time.After(abandonGrace):
-		return unknownOutcome(ReasonConnectionLost, "no answer before the deadline")
+	timeout := time.After(abandonGrace)
+	var last reply
+	for range pending {
+		select {
+		case rep := <-r.results:
+			if rep.answered() {
+				return rep
+			}
+			last = worse(last, rep)
+		case <-timeout:
+			return unknownOutcome(ReasonConnectionLost, "no answer before the deadline")
+		}
 	}
+	return last
 }
 
 // race runs attempts that may outlive the caller's request, up to its deadline.
