--- /dev/null
+++ b/pkg/lookup/lookup_test.go
@@ -0,0 +1,215 @@
+package lookup
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/membership"
+)
+
+func domains(n int) []config.FailureDomain {
+	out := make([]config.FailureDomain, n)
+	for i := range out {
+		out[i] = config.FailureDomain{Name: fmt.Sprintf("d%d", i), Region: fmt.Sprintf("r%d", i/2)}
+	}
+	return out
+}
+
+// Guards against a client that is sent to the domain of a shorter prefix, for
+// IPv4, IPv6 and mapped addresses: compares with a scan of all blocks.
+func TestLocateIsLongestPrefix(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		dep := &config.Deployment{FailureDomains: domains(5)}
+		prefixes := map[netip.Prefix]string{}
+		addr := func() netip.Addr {
+			b := [4]byte(rapid.SliceOfN(rapid.SampledFrom([]byte{0, 1, 128, 255}), 4, 4).Draw(rt, "address"))
+			a := netip.AddrFrom4(b)
+			if rapid.Bool().Draw(rt, "v6") {
+				wide := [16]byte{0x20, 1}
+				copy(wide[2:], b[:])
+				a = netip.AddrFrom16(wide)
+			}
+			return a
+		}
+		for range rapid.IntRange(0, 20).Draw(rt, "blocks") {
+			a := addr()
+			p := netip.PrefixFrom(a, rapid.IntRange(0, a.BitLen()).Draw(rt, "bits")).Masked()
+			if _, dup := prefixes[p]; dup {
+				continue
+			}
+			prefixes[p] = rapid.SampledFrom(dep.FailureDomains).Draw(rt, "domain").Name
+			dep.ClientBlocks = append(dep.ClientBlocks, config.ClientBlock{Prefix: p.String(), FailureDomain: prefixes[p]})
+		}
+		table, err := Build(dep)
+		require.NoError(rt, err)
+		a := addr()
+		want, bits := "", -1
+		for p, domain := range prefixes {
+			if p.Contains(a) && p.Bits() > bits {
+				want, bits = domain, p.Bits()
+			}
+		}
+		got, ok := table.Locate(a)
+		require.Equal(rt, bits >= 0, ok)
+		require.Equal(rt, want, got)
+		mapped, _ := table.Locate(netip.AddrFrom16(a.As16()))
+		require.Equal(rt, want, mapped)
+	})
+}
+
+// Guards against a deployment whose problems are reported one at a time.
+func TestBuildReportsEveryBadBlock(t *testing.T) {
+	_, err := Build(&config.Deployment{
+		FailureDomains: domains(2),
+		ClientBlocks: []config.ClientBlock{
+			{Prefix: "10.0.0.0/33", FailureDomain: "d0"},
+			{Prefix: "10.0.0.0/8", FailureDomain: "nowhere"},
+			{Prefix: "10.0.0.0/8", FailureDomain: "d0"},
+			{Prefix: "::ffff:10.1.2.3/104", FailureDomain: "d1"},
+		},
+	})
+	require.ErrorContains(t, err, "client_blocks[0].prefix")
+	require.ErrorContains(t, err, "client_blocks[1].failure_domain")
+	require.ErrorContains(t, err, `client_blocks[3].prefix: 10.0.0.0/8 is already in failure domain "d0"`)
+}
+
+func rankDeployment() *config.Deployment {
+	dep := &config.Deployment{FailureDomains: domains(6)}
+	for i, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		for k := range 2 {
+			dep.EntryInstances = append(dep.EntryInstances, config.EntryInstance{
+				ID: fmt.Sprintf("%s%d", name, k), FailureDomain: fmt.Sprintf("d%d", i),
+			})
+		}
+	}
+	dep.Links = []config.Link{
+		{A: "r0", B: "r1", OneWayDelay: config.Duration(50 * time.Millisecond)},
+		{A: "r2", B: "r0", OneWayDelay: config.Duration(30 * time.Millisecond)},
+	}
+	return dep
+}
+
+func rank(from string, states map[string]membership.State, client string) string {
+	peers := func(entry string) membership.State {
+		if s, ok := states[entry]; ok {
+			return s
+		}
+		return membership.StateReady
+	}
+	out := ""
+	for _, e := range Rank(rankDeployment(), from, peers, "a0", netip.MustParseAddr(client)) {
+		out += e.ID + " "
+	}
+	return out
+}
+
+// Guards against callers that are sent far away, or to an entry instance that
+// does not answer, while a better one is ready.
+func TestRankOrder(t *testing.T) {
+	order := rank("d0", nil, "10.0.0.1")
+	var classes string
+	for i := 0; i < len(order); i += 3 {
+		classes += order[i : i+1]
+	}
+	require.Regexp(t, "^aabb[ef]{4}[cd]{4}$", classes)
+	require.Equal(t, order, rank("", nil, "10.0.0.1"), "without a block: the domain of self")
+
+	states := map[string]membership.State{}
+	for _, id := range []string{"b0", "b1", "c0", "c1", "d0", "d1", "e0", "e1", "f0"} {
+		states[id] = membership.StateGone
+	}
+	states["f1"], states["a1"], states["a0"] = membership.StateLeaving, membership.StateSilent, membership.StateUnknown
+	require.Equal(t, "a0 ", rank("d0", states, "10.0.0.1"), "self answers, so it is ready")
+	states["a0"], states["b0"] = membership.StateLeaving, membership.StateNotReady
+	require.Equal(t, "b0 ", rank("d0", states, "10.0.0.1"))
+	states["b0"] = membership.StateSilent
+	require.Len(t, rank("d0", states, "10.0.0.1"), 36, "nothing else is left")
+}
+
+// Guards against all clients of a domain being sent to the same entry
+// instance.
+func TestRankSpreadsClients(t *testing.T) {
+	first := map[string]int{}
+	for i := range 1000 {
+		client := fmt.Sprintf("10.0.%d.%d", i/250, i%250)
+		first[rank("d1", nil, client)[:2]]++
+	}
+	require.Len(t, first, 2)
+	require.InDelta(t, 500, first["b0"], 100)
+}
+
+// blockAddr returns the address of the i-th /24 block. Dense blocks follow
+// each other, as in one allocation; scattered ones are spread over the whole
+// address space, which takes the most memory.
+func blockAddr(i uint32, scattered bool) netip.Addr {
+	const dense, odd = 1 << 16, 2_654_435_761
+	n := dense + i
+	if scattered {
+		n = i * odd // distinct modulo 2^24, because the factor is odd
+	}
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], n<<8|9)
+	return netip.AddrFrom4(b)
+}
+
+func blocks(n int, scattered bool) *config.Deployment {
+	dep := &config.Deployment{FailureDomains: domains(12)}
+	for i := range n {
+		dep.ClientBlocks = append(dep.ClientBlocks, config.ClientBlock{
+			Prefix:        netip.PrefixFrom(blockAddr(uint32(i), scattered), 24).Masked().String(),
+			FailureDomain: dep.FailureDomains[i*7%12].Name,
+		})
+	}
+	return dep
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func BenchmarkTable(b *testing.B) {
+	for _, n := range []int{1_000, 36_000, 360_000} {
+		for _, scattered := range []bool{false, true} {
+			dep := blocks(n, scattered)
+			name := fmt.Sprintf("blocks=%d/scattered=%t", n, scattered)
+			b.Run("build/"+name, func(b *testing.B) { benchmarkBuild(b, dep) })
+			b.Run("locate/"+name, func(b *testing.B) { benchmarkLocate(b, dep, scattered) })
+		}
+	}
+}
+
+func benchmarkBuild(b *testing.B, dep *config.Deployment) {
+	before := heap()
+	var table *Table
+	for b.Loop() {
+		var err error
+		table, err = Build(dep)
+		require.NoError(b, err)
+	}
+	b.ReportMetric(float64(heap()-before), "heap-bytes")
+	require.Equal(b, len(dep.ClientBlocks), table.Len())
+}
+
+func benchmarkLocate(b *testing.B, dep *config.Deployment, scattered bool) {
+	table, err := Build(dep)
+	require.NoError(b, err)
+	i, n := uint32(0), uint32(len(dep.ClientBlocks))
+	for b.Loop() {
+		// A step that is coprime to n visits the blocks out of order.
+		i = (i + 7919*31) % n
+		if _, ok := table.Locate(blockAddr(i, scattered)); !ok {
+			b.Fatal("address not found")
+		}
+	}
+}
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -2,12 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/binary"
 	"io"
 
 	"github.com/go-faster/errors"
-	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -17,14 +16,18 @@
 // encodeFrame returns the message with its length prefix, so that the size is
 // known before the first byte leaves.
 func encodeFrame(m proto.Message) ([]byte, error) {
-	if size := proto.Size(m); size > MaxMessage {
+	size := proto.Size(m)
+	if size > MaxMessage {
 		return nil, errors.Wrapf(ErrTooLarge, "%d bytes", size)
 	}
-	var buf bytes.Buffer
-	if _, err := protodelim.MarshalTo(&buf, m); err != nil {
+	// protodelim.MarshalTo would make a second copy of a large body.
+	buf := make([]byte, 0, size+binary.MaxVarintLen64)
+	buf = protowire.AppendVarint(buf, uint64(size))
+	buf, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(buf, m)
+	if err != nil {
 		return nil, errors.Wrap(err, "encode message")
 	}
-	return buf.Bytes(), nil
+	return buf, nil
 }
 
 // readFrame reads one message and requires that nothing follows it. It
@@ -41,19 +44,39 @@
 	if size > MaxMessage {
 		return errors.Wrapf(errGarbage, "length %d", size)
 	}
-	var body bytes.Buffer
-	if _, err := io.CopyN(&body, br, int64(size)); err != nil {
+	body, err := readBody(br, int(size))
+	if err != nil {
 		return src.classify(err)
 	}
 	if br.Buffered() > 0 {
 		return errors.Wrap(errGarbage, "data after the message")
 	}
-	if err := proto.Unmarshal(body.Bytes(), m); err != nil {
+	if err := proto.Unmarshal(body, m); err != nil {
 		return errors.Wrap(errGarbage, err.Error())
 	}
 	return nil
 }
 
+// readBody reserves little before the first bytes arrive, and then up to
+// bodyGrowth times what has arrived.
+func readBody(r io.Reader, size int) ([]byte, error) {
+	const firstPart, bodyGrowth = 64 << 10, 16
+	body := make([]byte, min(size, firstPart))
+	have := 0
+	for {
+		if _, err := io.ReadFull(r, body[have:]); err != nil {
+			return nil, err
+		}
+		have = len(body)
+		if have == size {
+			return body, nil
+		}
+		next := make([]byte, min(size, bodyGrowth*have))
+		copy(next, body)
+		body = next
+	}
+}
+
 // earlyEnd keeps the error of its source, which tells input that ended early
 // from malformed input.
 type earlyEnd struct {
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/hashicorp/yamux"
 )
 
@@ -18,8 +19,13 @@
 	backoffStart      = 20 * time.Millisecond
 	backoffMaxControl = 150 * time.Millisecond
 	backoffMaxBulk    = time.Second
+	// A session that ends sooner counts as a failed dial: the peer may be
+	// closing each session, such as one beyond its bound.
+	minSessionLife = time.Second
 )
 
+var errShortSession = errors.New("session ended soon after its start")
+
 // link holds at most one session to an address and dials it on demand.
 type link struct {
 	ctx context.Context
@@ -28,6 +34,7 @@
 
 	mu       sync.Mutex
 	current  *yamux.Session
+	opened   time.Time
 	dialing  *dial // nil when no dial is in progress
 	closed   bool
 	backoff  time.Duration
@@ -72,6 +79,7 @@
 	if l.dialing != nil {
 		return nil, l.dialing, nil
 	}
+	l.dropEnded(now)
 	if now.Before(l.nextDial) {
 		return nil, nil, inBackoff(l.key.addr, l.lastErr)
 	}
@@ -80,6 +88,20 @@
 	return nil, l.dialing, nil
 }
 
+// dropEnded forgets a closed session.
+func (l *link) dropEnded(now time.Time) {
+	if l.current == nil {
+		return
+	}
+	l.current = nil
+	if now.Sub(l.opened) < minSessionLife {
+		l.delayNextDial(errShortSession)
+		return
+	}
+	l.backoff = 0
+	l.nextDial = time.Time{}
+}
+
 // dial runs apart from any call, because a call with little time left must
 // not end the dial that other calls wait for.
 func (l *link) dial(d *dial) {
@@ -96,7 +118,7 @@
 	} else {
 		d.session = session
 		l.current = session
-		l.backoff = 0
+		l.opened = time.Now()
 	}
 	l.mu.Unlock()
 	close(d.done)
--- /dev/null
+++ b/pkg/peer/peer_test.go
@@ -0,0 +1,407 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"net"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/dandelionrack/dandelionrack/pkg/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type handlerFunc func(ctx context.Context, req *wire.Request) *wire.Response
+
+func (f handlerFunc) Handle(ctx context.Context, req *wire.Request) *wire.Response {
+	return f(ctx, req)
+}
+
+func echo(_ context.Context, req *wire.Request) *wire.Response {
+	if hb := req.GetHeartbeat(); hb != nil {
+		return &wire.Response{Reply: &wire.Response_Heartbeat{Heartbeat: hb}}
+	}
+	reply := &wire.ForwardReply{RequestId: req.GetForward().GetRequestId(), Body: req.GetForward().GetBody()}
+	return &wire.Response{Reply: &wire.Response_Forward{Forward: reply}}
+}
+
+func forward(id string, body []byte) *wire.Request {
+	return &wire.Request{Call: &wire.Request_Forward{Forward: &wire.Forward{RequestId: id, Body: body}}}
+}
+
+func heartbeat() *wire.Request {
+	return &wire.Request{Call: &wire.Request_Heartbeat{Heartbeat: &wire.Heartbeat{Sequence: 7}}}
+}
+
+func within(t *testing.T, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func startServer(t *testing.T, cfg Config) (*Server, string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := NewServer(cfg)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		require.NoError(t, s.Shutdown(ctx))
+		require.NoError(t, <-served)
+	})
+	return s, l.Addr().String()
+}
+
+func newPool(t *testing.T, cfg Config) *Pool {
+	cfg.Self, cfg.Incarnation = "entry-1", 42
+	p := NewPool(cfg)
+	t.Cleanup(p.Close)
+	return p
+}
+
+// Guards against answers that reach another caller, and against one request
+// shared by several calls being written to.
+func TestConcurrentCallsGetTheirOwnAnswers(t *testing.T) {
+	_, addr := startServer(t, Config{Handler: handlerFunc(echo)})
+	p := newPool(t, Config{})
+	shared := heartbeat()
+	var wg sync.WaitGroup
+	for i := range 100 {
+		wg.Go(func() {
+			id := fmt.Sprint(i)
+			resp, err := p.Call(within(t, 5*time.Second), addr, forward(id, make([]byte, i*1000)))
+			assert.NoError(t, err)
+			assert.Equal(t, id, resp.GetForward().GetRequestId())
+			assert.Len(t, resp.GetForward().GetBody(), i*1000)
+			_, err = p.Call(within(t, 5*time.Second), addr, shared)
+			assert.NoError(t, err)
+		})
+	}
+	wg.Wait()
+}
+
+// Guards against a cached refusal that is taken as fresh proof that the
+// process is gone, and against a refused request that counts as possibly run.
+func TestRefusedConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	require.NoError(t, l.Close())
+	p := newPool(t, Config{})
+	refused := 0
+	for start := time.Now(); time.Since(start) < time.Second; time.Sleep(5 * time.Millisecond) {
+		_, err := p.Call(within(t, time.Second), addr, heartbeat())
+		require.ErrorIs(t, err, ErrNotSent)
+		require.NotErrorIs(t, err, ErrLost)
+		if errors.Is(err, ErrRefused) {
+			refused++
+			require.NotErrorIs(t, err, ErrBackoff)
+		} else {
+			require.ErrorIs(t, err, ErrBackoff)
+		}
+	}
+	// One dial per heartbeat interval of 200 ms is needed for fresh proof;
+	// one per call would be a dial storm.
+	require.GreaterOrEqual(t, refused, 5)
+	require.Less(t, refused, 50)
+}
+
+// Guards against a handler that runs on after its caller gave up, and against
+// a call that outlives its context.
+func TestCancelReachesTheHandler(t *testing.T) {
+	started, cancelled := make(chan struct{}), make(chan struct{})
+	_, addr := startServer(t, Config{Handler: handlerFunc(func(ctx context.Context, _ *wire.Request) *wire.Response {
+		close(started)
+		<-ctx.Done()
+		close(cancelled)
+		return nil
+	})})
+	p := newPool(t, Config{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { <-started; cancel() }()
+	_, err := p.Call(ctx, addr, forward("a", nil))
+	require.ErrorIs(t, err, ErrLost)
+	require.ErrorIs(t, err, context.Canceled)
+	select {
+	case <-cancelled:
+	case <-time.After(time.Second):
+		t.Fatal("the handler was not cancelled")
+	}
+	_, err = p.Call(ctx, addr, forward("b", nil))
+	require.ErrorIs(t, err, ErrNotSent)
+}
+
+// Guards against a request that may have run being reported as not sent when
+// the peer dies.
+func TestSessionEndsDuringCall(t *testing.T) {
+	started := make(chan struct{})
+	release := make(chan struct{})
+	_, addr := startServer(t, Config{Handler: handlerFunc(func(context.Context, *wire.Request) *wire.Response {
+		close(started)
+		<-release
+		return nil
+	})})
+	r := startRelay(t, addr)
+	p := newPool(t, Config{})
+	go func() { <-started; r.cut() }()
+	_, err := p.Call(within(t, 5*time.Second), r.addr, forward("a", nil))
+	close(release)
+	require.ErrorIs(t, err, ErrLost)
+	require.NotErrorIs(t, err, ErrNotSent)
+}
+
+// Guards against a frozen session that holds calls beyond their context or is
+// used for ever.
+func TestFrozenSessionIsReplaced(t *testing.T) {
+	_, addr := startServer(t, Config{Handler: handlerFunc(echo)})
+	r := startRelay(t, addr)
+	p := newPool(t, Config{})
+	for _, req := range []*wire.Request{heartbeat(), forward("a", nil)} {
+		_, err := p.Call(within(t, time.Second), r.addr, req)
+		require.NoError(t, err)
+	}
+	r.frozen.Store(true)
+	start := time.Now()
+	for range 5 {
+		call := time.Now()
+		_, err := p.Call(within(t, 100*time.Millisecond), r.addr, forward("a", make([]byte, 1<<20)))
+		require.Error(t, err)
+		require.Less(t, time.Since(call), 200*time.Millisecond)
+	}
+	l, err := p.link(sessionKey{addr: r.addr, lane: control})
+	require.NoError(t, err)
+	l.mu.Lock()
+	frozen := l.current
+	l.mu.Unlock()
+	select {
+	case <-frozen.CloseChan():
+		t.Logf("frozen control session closed after %v", time.Since(start))
+	case <-time.After(2 * time.Second):
+		t.Fatal("the frozen session was not detected")
+	}
+	r.cut()
+	r.frozen.Store(false)
+	require.Eventually(t, func() bool {
+		_, err := p.Call(within(t, time.Second), r.addr, heartbeat())
+		return err == nil
+	}, 2*time.Second, 20*time.Millisecond)
+}
+
+// Guards against large bodies that delay heartbeats until a live peer looks
+// silent.
+func TestLargeBodiesDoNotDelayHeartbeats(t *testing.T) {
+	_, addr := startServer(t, Config{Handler: handlerFunc(echo)})
+	p := newPool(t, Config{})
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	var bodies atomic.Int64
+	for range 4 {
+		wg.Go(func() {
+			body := make([]byte, 5<<20)
+			for ctx.Err() == nil {
+				if _, err := p.Call(ctx, addr, forward("a", body)); err == nil {
+					bodies.Add(1)
+				}
+			}
+		})
+	}
+	var slowest time.Duration
+	for range 100 {
+		start := time.Now()
+		_, err := p.Call(within(t, time.Second), addr, heartbeat())
+		require.NoError(t, err)
+		slowest = max(slowest, time.Since(start))
+		time.Sleep(10 * time.Millisecond)
+	}
+	cancel()
+	wg.Wait()
+	t.Logf("slowest heartbeat %v beside %d bodies of 5 MiB each way", slowest, bodies.Load())
+	require.Less(t, slowest, 200*time.Millisecond)
+	require.Positive(t, bodies.Load())
+}
+
+// Guards against malformed input that stays connected, uses memory or harms
+// other sessions.
+func TestGarbageIsDisconnected(t *testing.T) {
+	s, addr := startServer(t, Config{Handler: handlerFunc(echo)})
+	p := newPool(t, Config{})
+	_, err := p.Call(within(t, time.Second), addr, heartbeat())
+	require.NoError(t, err)
+	bad := [][]byte{
+		[]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+		openStreamWith([]byte{0xff, 0xff, 0xff, 0x7f}),                     // length above the bound
+		openStreamWith([]byte{4, 0xff, 0xff, 0xff, 0xff}),                  // no protobuf
+		openStreamWith([]byte{0, 1}),                                       // data after the request
+		openStreamWith([]byte("\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff")), // endless varint
+	}
+	for i, data := range bad {
+		conn, err := net.Dial("tcp", addr)
+		require.NoError(t, err)
+		_, err = conn.Write(data)
+		require.NoError(t, err)
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+		_, err = io.Copy(io.Discard, conn)
+		require.False(t, errors.Is(err, context.DeadlineExceeded), "input %d stays connected", i)
+		_ = conn.Close()
+		require.Eventually(t, func() bool { return s.Stats().Garbage == int64(i+1) },
+			time.Second, time.Millisecond, "input %d is not counted", i)
+	}
+	_, err = p.Call(within(t, time.Second), addr, heartbeat())
+	require.NoError(t, err)
+}
+
+// openStreamWith returns yamux frames that open stream 1 and send data on it.
+func openStreamWith(data []byte) []byte {
+	syn := []byte{0, 1, 0, 1, 0, 0, 0, 1, 0, 0, 0, 0}
+	hdr := []byte{0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0, byte(len(data))}
+	return append(append(syn, hdr...), data...)
+}
+
+// Guards against unbounded sessions and calls, and against a call beyond the
+// bound that counts as possibly run.
+func TestBounds(t *testing.T) {
+	release := make(chan struct{})
+	s, addr := startServer(t, Config{
+		MaxStreams:         4,
+		MaxSessionsPerAddr: 1,
+		Handler: handlerFunc(func(ctx context.Context, req *wire.Request) *wire.Response {
+			<-release
+			return echo(ctx, req)
+		}),
+	})
+	p := newPool(t, Config{}) // its own bound is higher than the server's
+	var answered, rejected atomic.Int64
+	var wg sync.WaitGroup
+	for range 7 {
+		wg.Go(func() {
+			_, err := p.Call(within(t, 5*time.Second), addr, forward("a", make([]byte, 1<<20)))
+			if err == nil {
+				answered.Add(1)
+				return
+			}
+			assert.ErrorIs(t, err, ErrNotSent)
+			rejected.Add(1)
+		})
+	}
+	require.Eventually(t, func() bool { return rejected.Load() == 3 }, 5*time.Second, time.Millisecond)
+	other, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer other.Close()
+	_, err = other.Read(make([]byte, 1))
+	require.Error(t, err)
+	close(release)
+	wg.Wait()
+	require.EqualValues(t, 4, answered.Load())
+	require.EqualValues(t, 1, s.Stats().SessionsRefused)
+	_, err = p.Call(within(t, time.Second), addr, forward("a", make([]byte, MaxMessage)))
+	require.ErrorIs(t, err, ErrTooLarge)
+	require.ErrorIs(t, err, ErrNotSent)
+}
+
+// Guards against a planned stop that interrupts calls in flight, loses their
+// responses, leaves a late call's outcome open or looks like a dead process.
+func TestShutdownLosesNoCall(t *testing.T) {
+	for range 20 {
+		shutdownUnderLoad(t)
+	}
+}
+
+func shutdownUnderLoad(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var inFlight, handled, answered atomic.Int64
+	s := NewServer(Config{Handler: handlerFunc(func(ctx context.Context, req *wire.Request) *wire.Response {
+		inFlight.Add(1)
+		defer inFlight.Add(-1)
+		time.Sleep(20 * time.Millisecond)
+		handled.Add(1)
+		return echo(ctx, req)
+	})})
+	go func() { _ = s.Serve(l) }()
+	p := NewPool(Config{})
+	defer p.Close()
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	for range 16 {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				_, err := p.Call(context.Background(), l.Addr().String(), forward("a", make([]byte, 100_000)))
+				if err == nil {
+					answered.Add(1)
+					continue
+				}
+				if errors.Is(err, ErrRefused) && inFlight.Load() > 0 {
+					t.Error("refused while calls are in flight")
+				}
+				if !errors.Is(err, ErrNotSent) {
+					t.Errorf("outcome left open: %v", err)
+				}
+			}
+		})
+	}
+	time.Sleep(30 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	require.NoError(t, s.Shutdown(ctx))
+	close(stop)
+	wg.Wait()
+	require.Equal(t, handled.Load(), answered.Load())
+}
+
+// Guards against TLS settings that are not applied, and against a plain
+// connection that stays open beside TLS.
+func TestTLS(t *testing.T) {
+	web := httptest.NewTLSServer(nil)
+	defer web.Close()
+	roots := x509.NewCertPool()
+	roots.AddCert(web.Certificate())
+	s, addr := startServer(t, Config{
+		Handler: handlerFunc(echo),
+		TLS:     &tls.Config{Certificates: web.TLS.Certificates},
+	})
+	p := newPool(t, Config{TLS: &tls.Config{RootCAs: roots, ServerName: "example.com"}})
+	_, err := p.Call(within(t, 5*time.Second), addr, heartbeat())
+	require.NoError(t, err)
+	plain := newPool(t, Config{})
+	_, err = plain.Call(within(t, 5*time.Second), addr, heartbeat())
+	require.Error(t, err)
+	require.EqualValues(t, 1, s.Stats().Garbage)
+}
+
+func BenchmarkCall(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	s := NewServer(Config{Handler: handlerFunc(echo)})
+	go func() { _ = s.Serve(l) }()
+	p := NewPool(Config{})
+	for _, size := range []int{1 << 10, 1 << 20} {
+		b.Run(fmt.Sprintf("body=%d", size), func(b *testing.B) {
+			body := make([]byte, size)
+			for b.Loop() {
+				_, err := p.Call(context.Background(), l.Addr().String(), forward("a", body))
+				require.NoError(b, err)
+			}
+		})
+	}
+	p.Close()
+	require.NoError(b, s.Shutdown(context.Background()))
+}
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -57,6 +57,9 @@
 
 // Call sends a request to the peer at addr and returns its response. It
 // returns when ctx ends at the latest; the peer's handler is then cancelled.
+// A response with Error set is returned as it is. It does not show whether
+// the peer handled the request: a handled one whose response cannot be encoded
+// ends this way too. Rejections by the peer's server return ErrNotSent.
 func (p *Pool) Call(ctx context.Context, addr string, req *wire.Request) (*wire.Response, error) {
 	// A copy, because one request may be sent to many peers concurrently.
 	out := &wire.Request{
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -166,17 +166,43 @@
 func (s *serverSession) close(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, closeGrace)
 	defer cancel()
-	// Callers then dial instead of opening streams here.
-	_ = s.mux.GoAway()
+	// Close also ends sayGoAway, which blocks while the peer is frozen.
+	defer s.mux.Close()
+	told := make(chan struct{})
+	go func() {
+		defer close(told)
+		s.sayGoAway()
+	}()
+	select {
+	case <-told:
+	case <-ctx.Done():
+		return
+	}
+	s.waitForStreams(ctx)
+}
+
+// sayGoAway makes callers dial instead of opening streams here. The answered
+// ping shows that the peer has read the notice and that the streams it opened
+// before are known here.
+func (s *serverSession) sayGoAway() {
+	if err := s.mux.GoAway(); err != nil {
+		return
+	}
+	_, _ = s.mux.Ping()
+}
+
+// waitForStreams waits at least one tick, in which queued resets leave.
+func (s *serverSession) waitForStreams(ctx context.Context) {
 	tick := time.NewTicker(5 * time.Millisecond)
 	defer tick.Stop()
-	for s.mux.NumStreams() > 0 {
+	for {
 		select {
 		case <-ctx.Done():
-			_ = s.mux.Close()
 			return
 		case <-tick.C:
 		}
+		if s.mux.NumStreams() == 0 {
+			return
+		}
 	}
-	_ = s.mux.Close()
 }
--- a/pkg/trace/archiver.go
+++ b/pkg/trace/archiver.go
@@ -121,17 +121,21 @@
 }
 
 // Flush writes all queued spans. It keeps the interval between writes, so it
-// may wait for one; when ctx ends first, it returns an error and the spans
-// stay queued.
+// may wait for one; when ctx ends first, it returns an error that includes
+// the last failed write, and the spans stay queued.
 func (a *Archiver) Flush(ctx context.Context) error {
+	var failed error
 	for {
 		more, err := a.write(ctx)
-		if ctx.Err() != nil && (err != nil || more) {
-			return errors.Wrap(errors.Join(ctx.Err(), err), "flush trace spans")
-		}
 		if err == nil && !more {
 			return nil
 		}
+		if ctx.Err() != nil {
+			return errors.Wrap(errors.Join(ctx.Err(), failed), "flush trace spans")
+		}
+		if err != nil {
+			failed = err
+		}
 	}
 }
 
