Carry header values and paths between entry instances as bytes

HTTP allows values that are not valid UTF-8; a protobuf string field refuses to encode them, so an answer with one would have been lost after the request ran.

--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -74,7 +74,7 @@
 		ConfigVersion:  req.view.doc.Version,
 		TimeoutMs:      left.Milliseconds(),
 		Method:         req.method,
-		Path:           req.path,
+		Path:           []byte(req.path),
 		Headers:        headersToWire(req.header),
 		Body:           req.body,
 		IdempotencyKey: req.key.Raw,
@@ -124,7 +124,11 @@
 func headersToWire(h http.Header) []*wire.Header {
 	out := make([]*wire.Header, 0, len(h))
 	for name, values := range h {
-		out = append(out, &wire.Header{Name: name, Values: values})
+		raw := make([][]byte, len(values))
+		for i, v := range values {
+			raw[i] = []byte(v)
+		}
+		out = append(out, &wire.Header{Name: name, Values: raw})
 	}
 	return out
 }
@@ -132,7 +136,10 @@
 func headersFromWire(hs []*wire.Header) http.Header {
 	out := make(http.Header, len(hs))
 	for _, h := range hs {
-		out[http.CanonicalHeaderKey(h.GetName())] = h.GetValues()
+		name := http.CanonicalHeaderKey(h.GetName())
+		for _, v := range h.GetValues() {
+			out[name] = append(out[name], string(v))
+		}
 	}
 	return out
 }
@@ -213,7 +220,7 @@
 		service:    svc,
 		homeRegion: f.GetHomeRegion(),
 		method:     f.GetMethod(),
-		path:       f.GetPath(),
+		path:       string(f.GetPath()),
 		header:     headersFromWire(f.GetHeaders()),
 		body:       f.GetBody(),
 		deadline:   now.Add(time.Duration(f.GetTimeoutMs()) * time.Millisecond),
