--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -104,6 +104,7 @@
 	for id, s := range c.servers {
 		if !listed[id] {
 			s.removed = true
+			s.slowFrom = time.Time{}
 			s.retarget(0, now)
 		}
 	}
@@ -115,7 +116,7 @@
 func (c *Controller) setServer(now time.Time, spec Server) {
 	s := c.servers[spec.ID]
 	if s == nil {
-		s = &server{leaving: make(map[string]bool), idleAt: now}
+		s = &server{leaving: make(map[string]bool), loans: make(map[string]loan), idleAt: now}
 		c.servers[spec.ID] = s
 	}
 	// The longer timeout counts, because requests under the older
@@ -124,22 +125,27 @@
 	spec.Services = slices.Clone(spec.Services)
 	s.Server = spec
 	s.removed = false
+	spread := ConfigSpread + c.holdOff(s)
 	if c.seen {
-		s.retarget(spec.Share, now.Add(ConfigSpread+c.holdOff(s)))
+		s.retarget(spec.Share, now.Add(spread))
 		return
 	}
-	// At its first sight a server is assumed to be warm.
-	if c.clear {
-		s.share = spec.Share
-		return
+	c.firstShare(now, s, spec.ChangedAt.Add(spread))
+}
+
+// firstShare gives a server its share at the first sight of this incarnation.
+// The server is assumed to be warm.
+func (c *Controller) firstShare(now time.Time, s *server, settled time.Time) {
+	s.slowFrom = now.Add(-max(0, c.cfg.SlowStart))
+	at := settled
+	if held := c.cfg.Start.Add(LendValidity + c.holdOff(s)); !c.clear && held.After(at) {
+		at = held
 	}
-	at := c.cfg.Start.Add(LendValidity + c.holdOff(s))
-	if !at.After(now) {
-		s.share = spec.Share
-		return
+	if s.ChangedAt.IsZero() {
+		settled = now
 	}
-	s.slowFrom = now.Add(-c.cfg.SlowStart)
-	s.steps = []step{{spec.Share, at}}
+	s.steps = []step{{share: s.Share, at: at, clearAt: settled}}
+	s.advance(now, c.cfg.SlowStart)
 }
 
 // index rebuilds the list of servers by service.
@@ -157,22 +163,37 @@
 }
 
 // ClearHoldOff ends the hold-off of this incarnation. Call it only when a peer
-// has confirmed that the predecessor left after finishing all its requests and
+// has confirmed that the predecessor left cleanly (Clean was true) and
 // that no lent slot of this seat is in use. Increases by configuration changes
 // still wait.
 func (c *Controller) ClearHoldOff(now time.Time) {
 	now = c.advance(now)
 	c.clear = true
 	for _, s := range c.servers {
-		if len(s.steps) > 0 && s.steps[0].at.Equal(c.cfg.Start.Add(LendValidity+c.holdOff(s))) {
-			s.steps[0].at = now
+		if len(s.steps) > 0 && s.steps[0].clearAt.Before(s.steps[0].at) && !s.steps[0].clearAt.IsZero() {
+			s.steps[0].at = s.steps[0].clearAt
 		}
 	}
 	c.touch(now)
 }
 
+// Clean reports whether a successor may skip its hold-off: nothing is in flight
+// or held, and this incarnation's own hold-off is over. Within the hold-off,
+// requests of its predecessor may still run, so it must not vouch for the seat.
+func (c *Controller) Clean(now time.Time) bool {
+	now = c.advance(now)
+	for _, s := range c.servers {
+		until := c.cfg.Start.Add(LendValidity + c.holdOff(s))
+		if s.used() > 0 || !c.clear && until.After(now) {
+			return false
+		}
+	}
+	return c.seen
+}
+
 // SetLeaving records or withdraws one reason for which a server is leaving. It
-// gets no new work while any reason stands, and returns by slow start.
+// gets no new work while any reason stands, and returns by slow start. A server
+// that SetServers has not listed yet is ignored.
 func (c *Controller) SetLeaving(now time.Time, id string, leaving bool, reason string) {
 	now = c.advance(now)
 	s := c.servers[id]
@@ -194,28 +215,23 @@
 	c.touch(now)
 }
 
-// SetLent sets the slots that this seat may borrow of a server, 0 to withdraw
-// them at once. now is the time of the check that found the lending seat gone.
-// The slots can be used after the hold-off, and only while the call is
-// repeated at least every LendValidity: a process that was paused must not use
-// an old proof. After a gap the hold-off starts again.
+// SetLent is SetLentBy for a server that only one gone seat lends.
 func (c *Controller) SetLent(now time.Time, id string, extra int) {
-	at := now
-	now = c.advance(now)
+	c.SetLentBy(now, id, "", extra)
+}
+
+// SetLentBy sets the slots that this seat may borrow of a server from a gone
+// seat, 0 to withdraw them at once. now is the time of the check that found the
+// lending seat gone. The slots can be used after the hold-off, and only while
+// the call is repeated at least every LendValidity: a process that was paused
+// must not use an old proof. After a gap the hold-off starts again.
+func (c *Controller) SetLentBy(now time.Time, id, lender string, extra int) {
 	s := c.servers[id]
 	if s == nil {
 		return
 	}
-	if extra <= 0 {
-		s.lent = 0
-		return
-	}
-	if s.lent == 0 || at.After(s.lentUntil) || extra > s.lent {
-		s.lentFrom = at.Add(c.holdOff(s))
-	}
-	s.lent = extra
-	s.lentUntil = at.Add(LendValidity)
-	c.touch(now)
+	s.lend(now, lender, extra, c.holdOff(s))
+	c.touch(c.advance(now))
 }
 
 // Snapshot returns the state of all servers in id order.
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -54,7 +54,7 @@
 	}
 	c.dispatch(now)
 	if s := c.choose(now, r.Service, r.Exclude); s != nil {
-		c.take(now, s, r.ID)
+		c.take(now, s, r)
 		return Decision{Kind: Admitted, Server: s.ID}
 	}
 	if r.NoQueue {
@@ -100,10 +100,10 @@
 	return best
 }
 
-func (c *Controller) take(now time.Time, s *server, id uint64) {
+func (c *Controller) take(now time.Time, s *server, r Request) {
 	c.turn++
 	s.inFlight++
-	c.flights[id] = flight{server: s.ID, since: now}
+	c.flights[r.ID] = flight{server: s.ID, service: r.Service, since: now}
 }
 
 func (c *Controller) enqueue(now time.Time, r Request) Decision {
@@ -213,7 +213,7 @@
 			return
 		}
 		c.remove(w)
-		c.take(now, s, w.ID)
+		c.take(now, s, w.Request)
 		c.pending = append(c.pending, Event{Kind: Granted, ID: w.ID, Server: s.ID, Waited: now.Sub(w.since)})
 	}
 }
@@ -256,21 +256,15 @@
 		s.markIdle(now)
 	}
 	if holdUntil.IsZero() {
-		c.observe(s, now.Sub(f.since))
+		c.observe(s, f.service, now.Sub(f.since))
 	}
 	return c.settle(now)
 }
 
-// observe records a service time for the server and its services.
-func (c *Controller) observe(s *server, d time.Duration) {
-	s.observe(d)
-	for _, service := range s.Services {
-		if c.means[service] == 0 {
-			c.means[service] = max(d, 1)
-			continue
-		}
-		c.means[service] += (d - c.means[service]) / 8
-	}
+// observe records a service time for the server and the service.
+func (c *Controller) observe(s *server, service string, d time.Duration) {
+	s.mean = smooth(s.mean, d)
+	c.means[service] = smooth(c.means[service], d)
 }
 
 // Cancel removes a request from the queue. It also takes back a grant that has
--- a/pkg/admission/server.go
+++ b/pkg/admission/server.go
@@ -10,30 +10,36 @@
 type step struct {
 	share int
 	at    time.Time
+	// clearAt is when ClearHoldOff may raise it; zero: not before at.
+	clearAt time.Time
+}
+
+// loan is the part of a gone seat's share that this seat may use.
+type loan struct {
+	slots       int
+	from, until time.Time
 }
 
 // flight is a request that occupies a slot.
 type flight struct {
-	server string
-	since  time.Time
+	server, service string
+	since           time.Time
 }
 
 // server counts the slots of one backend server at this seat.
 type server struct {
 	Server
-	share     int    // in force
-	steps     []step // future increases, earliest first
-	slowFrom  time.Time
-	inFlight  int
-	held      []time.Time // end of each held slot, earliest first
-	lent      int
-	lentFrom  time.Time
-	lentUntil time.Time
-	leaving   map[string]bool
-	leftAt    time.Time
-	idleAt    time.Time
-	mean      time.Duration
-	removed   bool
+	share    int    // in force
+	steps    []step // future increases, earliest first
+	slowFrom time.Time
+	inFlight int
+	held     []time.Time     // end of each held slot, earliest first
+	loans    map[string]loan // by lending seat
+	leaving  map[string]bool
+	leftAt   time.Time
+	idleAt   time.Time
+	mean     time.Duration
+	removed  bool
 }
 
 // used counts slots that are taken.
@@ -68,10 +74,33 @@
 
 // lentNow returns the borrowed slots that may be used at a time.
 func (s *server) lentNow(now time.Time) int {
-	if s.lent == 0 || now.Before(s.lentFrom) || now.After(s.lentUntil) {
-		return 0
+	sum := 0
+	for _, l := range s.loans {
+		if !now.Before(l.from) && !now.After(l.until) {
+			sum += l.slots
+		}
+	}
+	return sum
+}
+
+// lend records a loan as of the check that found the lender gone.
+func (s *server) lend(at time.Time, lender string, slots int, holdOff time.Duration) {
+	if slots <= 0 {
+		delete(s.loans, lender)
+		return
+	}
+	l := s.loans[lender]
+	if l.slots < slots || at.After(l.until) {
+		l.from = at.Add(holdOff)
 	}
-	return s.lent
+	// After a change of the shares, the lender's new share may still be in use
+	// at a seat that has not seen the change.
+	if settled := s.ChangedAt.Add(ConfigSpread + holdOff); settled.After(l.from) {
+		l.from = settled
+	}
+	l.slots = slots
+	l.until = at.Add(LendValidity)
+	s.loans[lender] = l
 }
 
 // usable returns how many slots may be in use. The first slot of a slow start
@@ -107,7 +136,7 @@
 	}
 	s.steps = steps
 	if target > top {
-		s.steps = append(s.steps, step{target, at})
+		s.steps = append(s.steps, step{share: target, at: at})
 	}
 }
 
@@ -117,13 +146,12 @@
 	s.held = slices.Insert(s.held, i, until)
 }
 
-// observe adds a service time to the moving mean (weight 1/8).
-func (s *server) observe(d time.Duration) {
-	if s.mean == 0 {
-		s.mean = max(d, 1)
-		return
+// smooth adds a service time to a moving mean (weight 1/8).
+func smooth(mean, d time.Duration) time.Duration {
+	if mean == 0 {
+		return max(d, 1)
 	}
-	s.mean += (d - s.mean) / 8
+	return mean + (d-mean)/8
 }
 
 // nextChange returns the earliest time after which more slots may be usable.
@@ -135,8 +163,10 @@
 	if len(s.held) > 0 {
 		next = earlier(next, s.held[0])
 	}
-	if s.lent > 0 && now.Before(s.lentFrom) {
-		next = earlier(next, s.lentFrom)
+	for _, l := range s.loans {
+		if now.Before(l.from) {
+			next = earlier(next, l.from)
+		}
 	}
 	if slow > 0 && !s.slowFrom.IsZero() && now.Before(s.slowFrom.Add(slow)) {
 		// Steps of one slot; a fixed fraction is close enough and bounded.
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -63,6 +63,10 @@
 	Share int
 	// MaxTimeout is the largest timeout of the services of the server.
 	MaxTimeout time.Duration
+	// ChangedAt is when the configuration last changed any seat's share, zero
+	// if long ago. Another seat that has lost a share may not have seen that
+	// yet, so the first share of an incarnation and loans wait for it.
+	ChangedAt time.Time
 }
 
 // Request asks for a slot.
--- /dev/null
+++ b/pkg/budget/budget_test.go
@@ -0,0 +1,105 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func at(d time.Duration) time.Time { return epoch.Add(d) }
+
+// Guards against a retry storm, a budget that never refills, and a service
+// with few requests that may never retry.
+func TestRetryBudget(t *testing.T) {
+	retries := func(b *RetryBudget, now time.Time) (n int) {
+		for b.Retry(now) {
+			n++
+		}
+		return n
+	}
+	b := NewRetryBudget(0.1)
+	require.Equal(t, RetryFloor, retries(b, epoch))
+	for range 100 {
+		b.Request(at(time.Second))
+	}
+	require.Equal(t, 10-RetryFloor, retries(b, at(2*time.Second)))
+	require.Zero(t, retries(b, at(9*time.Second)))
+	require.Equal(t, RetryFloor, retries(b, at(10*time.Second)), "the first retries have left the window")
+	require.Equal(t, RetryFloor, retries(b, at(time.Hour)))
+	require.Zero(t, retries(NewRetryBudget(0), epoch))
+}
+
+// Guards against more bytes on a link than its budget over any time, and
+// against an estimate that is never corrected.
+func TestLinkBudgetOverAnyTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const rate = 1e6
+		pair := LinkPair{"dar", "mwanza"}
+		b := NewLinkBudget()
+		b.SetRate(epoch, pair, rate)
+		type sent struct {
+			at    time.Time
+			bytes float64
+		}
+		var log []sent
+		now := epoch
+		for range 200 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "gap")) * time.Millisecond)
+			n := rapid.IntRange(0, 150_000).Draw(t, "bytes")
+			estimate := rapid.IntRange(n, 200_000).Draw(t, "estimate")
+			if r, ok := b.Reserve(now, pair, estimate); ok {
+				b.Settle(now, r, n)
+				log = append(log, sent{now, float64(n)})
+			}
+		}
+		for i := range log {
+			sum := 0.0
+			for _, s := range log[i:] {
+				sum += s.bytes
+				if sum > rate*(s.at.Sub(log[i].at)+LinkBurst).Seconds()+1 {
+					t.Fatalf("%v bytes from %v to %v", sum, log[i].at, s.at)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a message above the burst that can never be sent, and against
+// a low estimate whose excess is forgotten.
+func TestLinkBudgetDebt(t *testing.T) {
+	pair := LinkPair{"dar", "mwanza"}
+	b := NewLinkBudget()
+	_, ok := b.Reserve(epoch, pair, 1)
+	require.False(t, ok, "no rate is known")
+	b.SetRate(epoch, pair, LinkRate(80_000, 8))
+	_, ok = b.Reserve(at(199*time.Millisecond), pair, 4000)
+	require.False(t, ok)
+	r, ok := b.Reserve(at(200*time.Millisecond), pair, 4000)
+	require.True(t, ok)
+	b.Settle(at(200*time.Millisecond), r, 5000)
+	require.InDelta(t, -4800, b.Available(at(200*time.Millisecond), pair), 1e-6)
+	_, ok = b.Reserve(at(4900*time.Millisecond), pair, 1)
+	require.False(t, ok)
+	_, ok = b.Reserve(at(5200*time.Millisecond), pair, 100)
+	require.True(t, ok)
+}
+
+// Guards against seats that together accept more than the contract's rate.
+func TestRateLimiterShare(t *testing.T) {
+	const seats, rate = 4, 100.0
+	accepted := 0
+	for range seats {
+		r := NewRateLimiter(rate, seats)
+		for now := epoch; !now.After(at(10 * time.Second)); now = now.Add(time.Millisecond) {
+			if r.Allow(now) {
+				accepted++
+			}
+		}
+	}
+	require.InDelta(t, rate*11, accepted, seats)
+	require.True(t, NewRateLimiter(0, seats).Allow(epoch))
+}
--- /dev/null
+++ b/pkg/shift/shift_test.go
@@ -0,0 +1,231 @@
+package shift
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dandelionrack/dandelionrack/pkg/shift/audit"
+)
+
+var (
+	epoch = time.Unix(1_800_000_000, 0)
+	key   = Key{"sarafu", "salio"}
+)
+
+const window = 10 * time.Second
+
+func at(d time.Duration) time.Time { return epoch.Add(d) }
+
+func limiter(perWindow float64) *Limiter {
+	l := NewLimiter(Config{Start: epoch, NoPredecessor: true})
+	l.SetCap(key, perWindow, window)
+	return l
+}
+
+// send reserves and commits up to n requests and returns how many passed.
+func send(l *Limiter, now time.Time, home, region string, n int) int {
+	for i := range n {
+		r, ok := l.Reserve(now, key, home, region)
+		if !ok {
+			return i
+		}
+		r.Commit()
+	}
+	return n
+}
+
+// Guards against a shift that grows by more than the cap in one window, and
+// against a cap that does not allow growth on top of the last window.
+func TestGrowthPerWindow(t *testing.T) {
+	l := limiter(5)
+	require.Equal(t, 5, send(l, at(0), "dar", "mwanza", 20))
+	require.Equal(t, 0, send(l, at(9*time.Second), "dar", "mwanza", 20))
+	require.Equal(t, 10, send(l, at(10*time.Second), "dar", "mwanza", 20))
+	require.Equal(t, 15, send(l, at(20*time.Second), "dar", "mwanza", 20))
+	require.Equal(t, 5, send(l, at(45*time.Second), "dar", "mwanza", 20), "the last window was empty")
+}
+
+// Guards against a cap that each pair of regions has for itself, so that their
+// sum exceeds the contract.
+func TestPairsShareTheCap(t *testing.T) {
+	l := limiter(5)
+	require.Equal(t, 3, send(l, at(0), "dar", "mwanza", 3))
+	require.Equal(t, 2, send(l, at(0), "arusha", "mwanza", 20))
+	require.Equal(t, 0, send(l, at(0), "dar", "arusha", 20))
+}
+
+// Guards against requests that count as last window's traffic although the
+// region refused them.
+func TestCancelledReservation(t *testing.T) {
+	l := limiter(1)
+	r, ok := l.Reserve(at(0), key, "dar", "mwanza")
+	require.True(t, ok)
+	require.Equal(t, 1, send(l, at(10*time.Second), "dar", "mwanza", 9), "an open reservation is no past traffic")
+	r.Cancel()
+	r.Commit()
+	require.Equal(t, 2, send(l, at(20*time.Second), "dar", "mwanza", 9))
+}
+
+// Guards against traffic that returns home at once, and against a fall in
+// demand that is taken for a return.
+func TestReturnHome(t *testing.T) {
+	l := limiter(5)
+	require.Equal(t, 5, send(l, at(0), "dar", "mwanza", 20))
+	require.Equal(t, 10, send(l, at(10*time.Second), "dar", "mwanza", 20))
+	require.Equal(t, 5, send(l, at(20*time.Second), "dar", "dar", 20))
+	region, away := l.MustStayAway(at(20*time.Second), key, "dar")
+	require.True(t, away)
+	require.Equal(t, "mwanza", region)
+	require.Equal(t, 20, send(l, at(20*time.Second), "arusha", "arusha", 20), "another home")
+	require.Equal(t, 5, send(l, at(20*time.Second), "dar", "mwanza", 5))
+	require.Equal(t, 20, send(l, at(20*time.Second), "dar", "dar", 20), "the fall is down to the cap")
+
+	l = limiter(5)
+	send(l, at(0), "dar", "mwanza", 5)
+	send(l, at(0), "dar", "dar", 50)
+	require.Equal(t, 50, send(l, at(10*time.Second), "dar", "dar", 50), "less demand, none of it moved")
+}
+
+// Guards against an allowance that the predecessor may have used already.
+func TestStartWithoutAllowance(t *testing.T) {
+	l := NewLimiter(Config{Start: epoch.Add(50 * time.Millisecond)})
+	require.Equal(t, 0, send(l, at(time.Minute), "dar", "mwanza", 1), "no cap is known")
+	l = NewLimiter(Config{Start: epoch.Add(50 * time.Millisecond)})
+	l.SetCap(key, 5, window)
+	require.Equal(t, 0, send(l, at(9999*time.Millisecond), "dar", "mwanza", 1))
+	require.Equal(t, 1, send(l, at(9999*time.Millisecond), "dar", "dar", 1))
+	require.Equal(t, 5, send(l, at(10*time.Second), "dar", "mwanza", 9))
+}
+
+// Guards against a raised cap that is used before other seats have lowered
+// theirs, and a lowered one that waits.
+func TestChangeOfCap(t *testing.T) {
+	l := limiter(2)
+	send(l, at(0), "dar", "dar", 1)
+	l.SetCap(key, 4, window)
+	require.Equal(t, 2, send(l, at(3*time.Second), "dar", "mwanza", 9))
+	require.Equal(t, 6, send(l, at(13*time.Second), "dar", "mwanza", 9))
+	l.SetCap(key, 1, window)
+	require.Equal(t, 7, send(l, at(23*time.Second), "dar", "mwanza", 9))
+}
+
+// Guards against a fraction of a request that is lost for ever or that several
+// seats use in the same window.
+func TestFractionsTakeTurns(t *testing.T) {
+	const seats = 5
+	total := 0
+	for _, perSeat := range []float64{0.4, 0.1} {
+		limit := perSeat * seats
+		var log []audit.Record
+		for seat := range seats {
+			l := NewLimiter(Config{Start: epoch, NoPredecessor: true, Seat: seat, Seats: seats})
+			l.SetCap(key, perSeat, window)
+			for now := epoch; now.Before(at(400 * time.Second)); now = now.Add(time.Second) {
+				if send(l, now, "dar", "mwanza", 1) == 1 {
+					log = append(log, audit.Record{Time: now, Home: "dar", Region: "mwanza", Incarnation: fmt.Sprint(seat)})
+				}
+			}
+		}
+		require.Empty(t, audit.Check(log, limit, window).Violations)
+		total += len(log)
+	}
+	require.Greater(t, total, 20)
+}
+
+// demand drives several seats with random demand, refusals, late answers and
+// restarts, and logs what was served.
+type demand struct {
+	t     *rapid.T
+	r     *rand.Rand
+	seats []*Limiter
+	names []string
+	c     float64
+	log   []audit.Record
+	late  []func()
+}
+
+var regions = []string{"dar", "mwanza", "arusha"}
+
+func (d *demand) start(i int, now time.Time) {
+	d.seats[i] = NewLimiter(Config{Start: now, Seat: i, Seats: len(d.seats)})
+	d.seats[i].SetCap(key, d.c/float64(len(d.seats)), window)
+	d.names[i] = fmt.Sprintf("%d@%d", i, now.UnixNano())
+}
+
+func (d *demand) request(i int, now time.Time, home, region string) {
+	if away, stay := d.seats[i].MustStayAway(now, key, home); stay && region == home {
+		region = away
+	}
+	r, ok := d.seats[i].Reserve(now, key, home, region)
+	if !ok {
+		return
+	}
+	record := audit.Record{Time: now, Home: home, Region: region, Incarnation: d.names[i]}
+	switch d.r.IntN(4) {
+	case 0:
+		r.Cancel()
+	case 1: // the answer comes later
+		served := d.r.IntN(2) == 0
+		if served {
+			d.log = append(d.log, record)
+		}
+		d.late = append(d.late, func() { r.end(served) })
+	default:
+		r.Commit()
+		d.log = append(d.log, record)
+	}
+}
+
+func (d *demand) tick(now time.Time, rate int, remote float64) {
+	for i := range d.seats {
+		if d.r.IntN(400) == 0 {
+			d.start(i, now)
+		}
+		for range d.r.IntN(rate + 1) {
+			home := regions[d.r.IntN(len(regions))]
+			region := home
+			if d.r.Float64() < remote {
+				region = regions[d.r.IntN(len(regions))]
+			}
+			d.request(i, now, home, region)
+		}
+	}
+	for len(d.late) > 0 && d.r.IntN(3) > 0 {
+		d.late[0]()
+		d.late = d.late[1:]
+	}
+}
+
+// Guards against a sum over the seats that changes by more than the cap from
+// one window to the next, for random demand and restarts of seats.
+func TestSumOverSeatsStaysUnderCap(t *testing.T) {
+	moved, returned := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		d := &demand{t: t, c: rapid.Float64Range(0, 60).Draw(t, "cap")}
+		d.r = rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		n := rapid.IntRange(1, 5).Draw(t, "n")
+		d.seats, d.names = make([]*Limiter, n), make([]string, n)
+		for i := range d.seats {
+			d.start(i, epoch)
+		}
+		now := epoch
+		for range rapid.IntRange(1, 6).Draw(t, "phases") {
+			rate := rapid.IntRange(0, 12).Draw(t, "rate")
+			remote := rapid.Float64Range(0, 1).Draw(t, "remote")
+			for range rapid.IntRange(1, 100).Draw(t, "length") {
+				now = now.Add(time.Duration(d.r.IntN(700)) * time.Millisecond)
+				d.tick(now, rate, remote)
+			}
+		}
+		report := audit.Check(d.log, d.c, window)
+		require.Empty(t, report.Violations)
+		moved, returned = moved+report.MaxIncrease, returned+report.MaxReturn
+	})
+	require.Positive(t, moved)
+	require.Positive(t, returned)
+}
