claim: test the invariant and fix two faults

Every write was refused as not encodable: errors.Wrap of go-faster returns an error for a nil error. The row encoder wraps only when there is one.

A group of keys held back by the conflict of others could turn out empty, because their attempts had ended; the turn was lost.

Recovery of the store is logged, so that the end of an outage is visible.

--- a/pkg/claim/committer.go
+++ b/pkg/claim/committer.go
@@ -125,8 +125,8 @@
 		limit = min(limit, outageGroup)
 	}
 	g := &group{}
-	if len(m.retry) > 0 {
-		m.fill(g, &m.retry, limit, now)
+	m.fill(g, &m.retry, limit, now)
+	if len(g.recs) > 0 {
 		return g
 	}
 	m.fill(g, &m.urgent, limit-limit/4, now)
@@ -176,17 +176,25 @@
 	var conflict *platform.ConflictError
 	switch {
 	case err == nil:
-		m.outage = 0
+		m.recovered()
 		for _, rec := range g.recs {
 			m.apply(rec, rec.machine.committed())
 		}
 	case errors.As(err, &conflict) && m.settleConflict(g, conflict):
-		m.outage = 0
+		m.recovered()
 	default:
 		m.settleFailure(g, err)
 	}
 }
 
+// recovered notes that the store answered.
+func (m *Manager) recovered() {
+	if m.outage > 0 {
+		m.cfg.Logger.Info("claim transactions succeed again", "failed", m.outage)
+	}
+	m.outage = 0
+}
+
 // settleConflict hands the rows in conflict to their keys and queues the rest
 // again. It reports whether the conflict concerned any key of the group.
 func (m *Manager) settleConflict(g *group, conflict *platform.ConflictError) bool {
--- /dev/null
+++ b/pkg/claim/fake_test.go
@@ -0,0 +1,97 @@
+package claim
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/dandelionrack/dandelionrack/pkg/platform"
+)
+
+// fakeTable is a table service in memory. before, when set, runs ahead of each
+// commit, outside the lock, and its error replaces the commit.
+type fakeTable struct {
+	mu     sync.Mutex
+	rows   map[string]platform.Row
+	before func(context.Context) error
+	reads  int
+}
+
+func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
+
+func (f *fakeTable) Commit(ctx context.Context, tx platform.Tx) error {
+	f.mu.Lock()
+	before := f.before
+	f.mu.Unlock()
+	if before != nil {
+		if err := before(ctx); err != nil {
+			return err
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var conflict platform.ConflictError
+	for _, c := range tx.Conditions {
+		if r := f.rows[c.Key]; r.Version != c.Version {
+			r.Key = c.Key
+			conflict.Rows = append(conflict.Rows, r)
+		}
+	}
+	if len(conflict.Rows) > 0 {
+		return &conflict
+	}
+	for _, p := range tx.Puts {
+		f.rows[p.Key] = platform.Row{Key: p.Key, Version: f.rows[p.Key].Version + 1, Value: p.Value}
+	}
+	return nil
+}
+
+func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	r, ok := f.rows[key]
+	if !ok {
+		return r, platform.ErrNotFound
+	}
+	return r, nil
+}
+
+func (f *fakeTable) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	var out []platform.Row
+	for key, r := range f.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out[:min(limit, len(out))], nil
+}
+
+// behave sets what runs ahead of each commit.
+func (f *fakeTable) behave(before func(context.Context) error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.before = before
+}
+
+func mustParse(raw string) Key {
+	k, err := ParseKey(raw)
+	if err != nil {
+		panic(err)
+	}
+	return k
+}
+
+func callerKey(now time.Time) Key { return mustParse(newUUID(now).String()) }
+
+func issuedKeyOf(m *Manager, now time.Time) Key { return mustParse(NewIssuedKey(m.cfg.Self, now)) }
+
+func idOf(k Key) ID { return ID{Customer: "sarafu", Service: "weka", Key: k.Raw} }
+
+var testFP = FingerprintOf("POST", "/credit", []byte("bag 1"))
--- /dev/null
+++ b/pkg/claim/machine_test.go
@@ -0,0 +1,62 @@
+package claim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a wrong answer to each kind of row that a claim can meet.
+func TestClaimConflicts(t *testing.T) {
+	self := Incarnation{"entry-1", 1}
+	result := &Result{Status: 200}
+	for name, c := range map[string]struct {
+		stored  row
+		verdict Verdict // 0: the claim is sent again
+		reason  string
+	}{
+		"foreign done":          {row{State: stateDone, Entry: "entry-2", Incarnation: 2, Result: result}, Recorded, ""},
+		"foreign unknown":       {row{State: stateUnknown, Entry: "entry-2", Incarnation: 2}, Unknown, ""},
+		"foreign claimed":       {row{State: stateClaimed, Entry: "entry-2", Incarnation: 2}, PassTo, ""},
+		"foreign not run":       {row{State: stateNotRun, Entry: "entry-2", Incarnation: 2}, 0, ""},
+		"earlier incarnation":   {row{State: stateClaimed, Entry: "entry-1", Incarnation: 9}, PassTo, ""},
+		"own, earlier attempt":  {row{State: stateClaimed, Entry: "entry-1", Incarnation: 1, Attempt: "a0"}, 0, ""},
+		"own done":              {row{State: stateDone, Entry: "entry-1", Incarnation: 1, Attempt: "a0", Result: result}, Recorded, ""},
+		"other request":         {row{State: stateNotRun, Fingerprint: testFP}, NotRun, ReasonKeyMismatch},
+		"recorded without body": {row{State: stateDone, Result: &Result{Truncated: true}}, Recorded, ReasonRecordedWithoutBody},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := machine{self: self}
+			m.start("a1")
+			require.NotNil(t, m.take(time.Time{}))
+			e := m.conflict(4, &c.stored)
+			require.False(t, e.grant)
+			if c.verdict == 0 {
+				require.Nil(t, e.answer)
+				require.Equal(t, stateClaimed, m.take(time.Time{}).State)
+				require.EqualValues(t, 4, m.version)
+				require.True(t, m.committed().grant)
+				return
+			}
+			require.NotNil(t, e.answer)
+			require.Equal(t, c.verdict, e.answer.Verdict)
+			require.Equal(t, c.reason, e.answer.Reason)
+			require.True(t, m.settled())
+			if c.verdict == PassTo {
+				require.Equal(t, c.stored.owner(), e.answer.PassTo)
+			}
+		})
+	}
+}
+
+// Guards against a claim that landed although its reply was lost and that is
+// taken for the claim of another attempt.
+func TestLostReply(t *testing.T) {
+	m := machine{}
+	m.start("a1")
+	landed := *m.take(time.Time{})
+	m.failed(true, attemptFailures)
+	m.take(time.Time{})
+	require.True(t, m.conflict(1, &landed).grant)
+}
--- /dev/null
+++ b/pkg/claim/manager_test.go
@@ -0,0 +1,248 @@
+package claim
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/dandelionrack/dandelionrack/pkg/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// inBubble runs a manager in virtual time. Eleven entries and the default
+// budget give a minimum interval of 55 ms.
+func inBubble(t *testing.T, table *fakeTable, cfg Config, test func(*testing.T, *Manager)) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg.Self = Incarnation{Entry: "entry-1", Number: 7}
+		cfg.Table = table
+		cfg.Entries = func() int { return 11 }
+		m := NewManager(cfg)
+		ctx, cancel := context.WithCancel(context.Background())
+		stopped := make(chan error, 1)
+		go func() { stopped <- m.Run(ctx) }()
+		test(t, m)
+		cancel()
+		require.ErrorIs(t, <-stopped, context.Canceled)
+	})
+}
+
+func begin(m *Manager, k Key, timeout time.Duration) Decision {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return m.Begin(ctx, idOf(k), k, testFP)
+}
+
+func runKey(t *testing.T, m *Manager, k Key, r Result) {
+	t.Helper()
+	d := begin(m, k, time.Second)
+	require.Equal(t, Run, d.Verdict, d.Detail)
+	require.NoError(t, d.Ticket.Dispatch(time.Now()))
+	d.Ticket.Done(r)
+}
+
+// Guards against overlapping transactions, transactions closer than the
+// budget allows, and one transaction per key.
+func TestGroupCommitTiming(t *testing.T) {
+	for _, rtt := range []time.Duration{2 * time.Millisecond, 70 * time.Millisecond} {
+		var starts, ends []time.Time
+		table := newFakeTable()
+		table.before = func(ctx context.Context) error {
+			starts = append(starts, time.Now())
+			defer func() { ends = append(ends, time.Now()) }()
+			return sleep(ctx, rtt)
+		}
+		inBubble(t, table, Config{}, func(t *testing.T, m *Manager) {
+			var wg sync.WaitGroup
+			for range 200 {
+				wg.Go(func() { runKey(t, m, callerKey(time.Now()), Result{Status: 200}) })
+				time.Sleep(time.Millisecond)
+			}
+			wg.Wait()
+			require.NoError(t, m.Flush(context.Background()))
+		})
+		require.Less(t, len(starts), 12)
+		for i := 1; i < len(starts); i++ {
+			require.GreaterOrEqual(t, starts[i].Sub(starts[i-1]), 55*time.Millisecond)
+			require.False(t, starts[i].Before(ends[i-1]), "two transactions in flight")
+		}
+	}
+}
+
+// Guards against a caller that waits past its deadline or gets anything but
+// store_unavailable, and against a claim that stays in the way of a retry.
+func TestStoreOutage(t *testing.T) {
+	for name, down := range map[string]func(context.Context) error{
+		"refused": func(context.Context) error { return platform.ErrUnavailable },
+		"lost":    func(context.Context) error { return platform.ErrUnknownOutcome },
+		"hangs":   func(ctx context.Context) error { return sleep(ctx, time.Hour) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := newFakeTable()
+			inBubble(t, table, Config{}, func(t *testing.T, m *Manager) {
+				table.behave(down)
+				k := callerKey(time.Now())
+				started := time.Now()
+				d := begin(m, k, 3*time.Second)
+				require.Equal(t, NotRun, d.Verdict)
+				require.Equal(t, ReasonStoreUnavailable, d.Reason)
+				require.LessOrEqual(t, time.Since(started), 3*time.Second)
+				runKey(t, m, issuedKeyOf(m, time.Now()), Result{Status: 200})
+				table.behave(nil)
+				require.NoError(t, m.Flush(context.Background()))
+				runKey(t, m, k, Result{Status: 201})
+				require.NoError(t, m.Flush(context.Background()))
+				require.Equal(t, 201, begin(m, k, time.Second).Result.Status)
+				require.Zero(t, table.reads)
+			})
+		})
+	}
+}
+
+// Guards against a retry that runs beside the request in flight, and against
+// "not run" for a retry whose deadline passes while the request may run.
+func TestRetryAttaches(t *testing.T) {
+	inBubble(t, newFakeTable(), Config{}, func(t *testing.T, m *Manager) {
+		for _, k := range []Key{callerKey(time.Now()), issuedKeyOf(m, time.Now())} {
+			first := begin(m, k, time.Second)
+			require.Equal(t, Run, first.Verdict)
+			require.Equal(t, Unknown, begin(m, k, time.Second).Verdict)
+			attached := make(chan Decision, 1)
+			go func() { attached <- begin(m, k, time.Minute) }()
+			synctest.Wait()
+			require.NoError(t, first.Ticket.Dispatch(time.Now()))
+			first.Ticket.Done(Result{Status: 200, Body: []byte("paid")})
+			require.Equal(t, "paid", string((<-attached).Result.Body))
+			other := m.Begin(context.Background(), idOf(k), k, FingerprintOf("POST", "/credit", nil))
+			require.Equal(t, ReasonKeyMismatch, other.Reason)
+		}
+	})
+}
+
+// Guards against the use of an old claim by an entry that was paused.
+func TestDispatchLimit(t *testing.T) {
+	table := newFakeTable()
+	inBubble(t, table, Config{}, func(t *testing.T, m *Manager) {
+		k := callerKey(time.Now())
+		late := begin(m, k, time.Second)
+		time.Sleep(DispatchLimit + time.Millisecond)
+		require.ErrorIs(t, late.Ticket.Dispatch(time.Now()), ErrDispatchLimit)
+		late.Ticket.NotRun(ReasonDeadline)
+		require.ErrorIs(t, late.Ticket.Dispatch(time.Now()), ErrNotGranted)
+		require.NoError(t, m.Flush(context.Background()))
+		require.Equal(t, NotRun, m.Lookup(context.Background(), idOf(k)).Verdict)
+		runKey(t, m, k, Result{Status: 200})
+	})
+}
+
+// Guards against unbounded memory, and against a second run of a key whose
+// result left the memory.
+func TestIssuedMemory(t *testing.T) {
+	body := []byte(strings.Repeat("x", MaxBodyBytes))
+	table := newFakeTable()
+	var step atomic.Int64
+	cfg := Config{MaxIssued: 8, MaxBytes: 4 * MaxBodyBytes}
+	cfg.Now = func() time.Time { return time.Now().Add(time.Duration(step.Load())) }
+	inBubble(t, table, cfg, func(t *testing.T, m *Manager) {
+		var keys []Key
+		for range 8 {
+			k := issuedKeyOf(m, time.Now())
+			keys = append(keys, k)
+			runKey(t, m, k, Result{Status: 200, Body: body})
+			require.NoError(t, m.Flush(context.Background()))
+		}
+		require.LessOrEqual(t, m.Stats().Bytes, cfg.MaxBytes)
+		for _, k := range keys {
+			require.Equal(t, body, begin(m, k, time.Second).Result.Body)
+		}
+		require.Equal(t, ReasonOverload, begin(m, issuedKeyOf(m, time.Now()), time.Second).Reason)
+		table.behave(func(context.Context) error { return platform.ErrUnavailable })
+		time.Sleep(MaxKeyAge + time.Second)
+		require.Equal(t, ReasonKeyExpired, begin(m, keys[0], time.Second).Reason)
+		for range 4 {
+			runKey(t, m, issuedKeyOf(m, time.Now()), Result{Status: 200, Body: body})
+		}
+		require.Equal(t, ReasonOverload, begin(m, issuedKeyOf(m, time.Now()), time.Second).Reason)
+		// A clock that steps back must not make an evicted key run again.
+		step.Store(int64(-MaxKeyAge))
+		require.Equal(t, ReasonKeyExpired, begin(m, keys[0], time.Second).Reason)
+	})
+}
+
+// Guards against a result that is kept in part, and against a retry that
+// takes a status without its body for the whole answer.
+func TestLargeResult(t *testing.T) {
+	for name, r := range map[string]Result{
+		"body":   {Status: 200, Body: make([]byte, MaxBodyBytes+1)},
+		"header": {Status: 200, Header: http.Header{"A": {strings.Repeat("x", MaxHeaderBytes)}}},
+		"binary": {Status: 200, Header: http.Header{"A": {"\xc3"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, newFakeTable(), Config{}, func(t *testing.T, m *Manager) {
+				k := callerKey(time.Now())
+				runKey(t, m, k, r)
+				require.NoError(t, m.Flush(context.Background()))
+				d := begin(m, k, time.Second)
+				require.Equal(t, ReasonRecordedWithoutBody, d.Reason)
+				require.Equal(t, &Result{Status: 200, Truncated: true}, d.Result)
+			})
+		})
+	}
+}
+
+// Guards against keys without conflict that wait without end beside a steady
+// stream of retries of finished keys.
+func TestConflictsDoNotStarve(t *testing.T) {
+	inBubble(t, newFakeTable(), Config{}, func(t *testing.T, m *Manager) {
+		old := callerKey(time.Now())
+		runKey(t, m, old, Result{Status: 200})
+		require.NoError(t, m.Flush(context.Background()))
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				begin(m, old, time.Second)
+			}
+		})
+		started := time.Now()
+		runKey(t, m, callerKey(time.Now()), Result{Status: 200})
+		require.Less(t, time.Since(started), 250*time.Millisecond)
+		cancel()
+		wg.Wait()
+	})
+}
+
+// Guards against an operator list that misses a claim beyond the first page
+// or shows claims of live entries.
+func TestUnresolved(t *testing.T) {
+	table := newFakeTable()
+	put := func(s state, owner Incarnation) {
+		r := (&machine{self: owner, attempt: "a"}).newRow(s)
+		r.Result = &Result{}
+		value, err := r.encode()
+		require.NoError(t, err)
+		key := idOf(callerKey(time.Now())).rowKey()
+		table.rows[key] = platform.Row{Key: key, Version: 1, Value: value}
+	}
+	live, dead := Incarnation{"entry-2", 1}, Incarnation{"entry-3", 1}
+	for range 2*scanPage + 1 {
+		put(stateDone, dead)
+		put(stateClaimed, live)
+	}
+	put(stateClaimed, dead)
+	put(stateUnknown, live)
+	m := NewManager(Config{Table: table, ReadBudget: 1e6, Live: func(i Incarnation) bool { return i == live }})
+	found, err := m.Unresolved(context.Background(), 10)
+	require.NoError(t, err)
+	require.Len(t, found, 2)
+	require.Equal(t, "sarafu", found[0].ID.Customer)
+	require.LessOrEqual(t, table.reads, 6)
+}
--- /dev/null
+++ b/pkg/claim/property_test.go
@@ -0,0 +1,320 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dandelionrack/dandelionrack/pkg/platform"
+)
+
+// run is one dispatch as the backend server would see it.
+type run struct {
+	ticket *Ticket
+	body   string
+	notRun bool // proved
+}
+
+// attempt is one call of Begin in the world.
+type attempt struct {
+	entry  int
+	id     ID
+	ticket *Ticket
+	run    *run
+	dead   bool // its entry crashed
+}
+
+// world drives several managers without goroutines: each step of the
+// committer, each fault and each caller is one action.
+type world struct {
+	t        *rapid.T
+	now      time.Time
+	table    *fakeTable
+	entries  []*Manager
+	flying   []*group      // by entry
+	delayed  []platform.Tx // lost writes that may still land
+	keys     []Key
+	attempts []*attempt // with the right to a ticket
+	attached []*attempt
+	runs     map[ID][]*run
+	starts   uint64
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, now: time.Date(2026, 5, 4, 3, 2, 1, 0, time.UTC), table: newFakeTable(), runs: map[ID][]*run{}}
+	w.entries = make([]*Manager, 2)
+	w.flying = make([]*group, 2)
+	// Few keys and entries, so that attempts meet often.
+	w.keys = []Key{callerKey(w.now), callerKey(w.now), {}, {}}
+	for i := range w.entries {
+		w.startEntry(i)
+	}
+	return w
+}
+
+func (w *world) startEntry(i int) {
+	w.starts++
+	w.entries[i] = NewManager(Config{
+		ReadBudget: 1e9,
+		Self:       Incarnation{Entry: fmt.Sprint("entry-", i), Number: w.starts},
+		Table:      w.table,
+		Now:        func() time.Time { return w.now },
+		MaxGroup:   2,
+	})
+	w.keys[2+i] = issuedKeyOf(w.entries[i], w.now)
+}
+
+// renewKey replaces a key, since a key that ended allows no further run.
+func (w *world) renewKey() {
+	i := rapid.IntRange(0, len(w.keys)-1).Draw(w.t, "renew")
+	if w.keys[i].Issued {
+		w.keys[i] = issuedKeyOf(w.entries[i-2], w.now)
+		return
+	}
+	w.keys[i] = callerKey(w.now)
+}
+
+func (w *world) pick() int { return rapid.IntRange(0, len(w.entries)-1).Draw(w.t, "entry") }
+
+// open returns the dispatches of a key that are not proved not run.
+func (w *world) open(id ID) []*run {
+	return slices.DeleteFunc(slices.Clone(w.runs[id]), func(r *run) bool { return r.notRun })
+}
+
+func (w *world) begin() {
+	i := w.pick()
+	m := w.entries[i]
+	key := rapid.SampledFrom(w.keys).Draw(w.t, "key")
+	id := idOf(key)
+	w.check(id, m.Lookup(context.Background(), id))
+	if key.Issued && key.Owner != m.cfg.Self {
+		require.Equal(w.t, key.Owner, m.Begin(context.Background(), id, key, testFP).PassTo)
+		return
+	}
+	t, leads, d := m.join(id, key, testFP)
+	a := &attempt{entry: i, id: id, ticket: t}
+	switch {
+	case d.Verdict != 0:
+		w.check(id, d)
+	case leads:
+		w.attempts = append(w.attempts, a)
+	default:
+		w.attached = append(w.attached, a)
+	}
+}
+
+// check compares a final answer with the ledger of runs.
+func (w *world) check(id ID, d Decision) {
+	open := w.open(id)
+	switch d.Verdict {
+	case Recorded:
+		require.Len(w.t, open, 1)
+		require.Equal(w.t, open[0].body, string(d.Result.Body))
+	case NotRun:
+		require.Empty(w.t, open, "not run was told of a key that may have run: %s", d.Reason)
+	}
+}
+
+func (w *world) collect() {
+	i := w.pick()
+	if w.flying[i] != nil {
+		return
+	}
+	if g := w.entries[i].collect(w.now); len(g.recs) > 0 {
+		w.flying[i] = g
+	}
+}
+
+func (w *world) settle() {
+	i := w.pick()
+	g := w.flying[i]
+	if g == nil {
+		return
+	}
+	w.flying[i] = nil
+	err := platform.ErrUnknownOutcome
+	switch rapid.SampledFrom([]string{"ok", "ok", "ok", "lost after", "lost before", "late", "down"}).Draw(w.t, "fate") {
+	case "ok":
+		err = w.table.Commit(context.Background(), g.tx)
+	case "lost after":
+		_ = w.table.Commit(context.Background(), g.tx)
+	case "late":
+		w.delayed = append(w.delayed, g.tx)
+	case "down":
+		err = platform.ErrUnavailable
+	}
+	w.entries[i].settle(g, err)
+}
+
+func (w *world) landDelayed() {
+	if len(w.delayed) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.delayed)-1).Draw(w.t, "delayed")
+	_ = w.table.Commit(context.Background(), w.delayed[i])
+}
+
+func (w *world) pause() {
+	w.now = w.now.Add(time.Duration(rapid.IntRange(0, 7).Draw(w.t, "s")) * time.Second)
+}
+
+func (w *world) crash() {
+	i := w.pick()
+	if g := w.flying[i]; g != nil {
+		w.delayed = append(w.delayed, g.tx)
+		w.flying[i] = nil
+	}
+	for _, a := range w.attempts {
+		a.dead = a.dead || a.entry == i
+	}
+	w.startEntry(i)
+}
+
+// caller lets one waiting caller act: give up, dispatch or end its ticket.
+func (w *world) caller() {
+	if len(w.attempts) == 0 {
+		return
+	}
+	back := rapid.IntRange(1, min(4, len(w.attempts))).Draw(w.t, "attempt")
+	a := w.attempts[len(w.attempts)-back]
+	if a.dead {
+		return
+	}
+	step := rapid.SampledFrom([]string{"dispatch", "dispatch", "end", "end", "expire"}).Draw(w.t, "step")
+	switch {
+	case step == "expire" && a.run == nil && a.ticket.live():
+		w.entries[a.entry].expire(a.ticket)
+	case step == "dispatch":
+		w.dispatch(a)
+	case step == "end" && a.run != nil:
+		w.end(a)
+	}
+}
+
+func (w *world) dispatch(a *attempt) {
+	err := a.ticket.Dispatch(w.now)
+	if err != nil {
+		if a.run == nil && isClosed(a.ticket.granted) {
+			a.ticket.NotRun(ReasonDeadline)
+		}
+		return
+	}
+	require.False(w.t, isClosed(a.ticket.ended), "an ended ticket was dispatched")
+	require.Empty(w.t, w.open(a.id), "second dispatch of %s", a.id.Key)
+	a.run = &run{ticket: a.ticket, body: fmt.Sprint("run ", len(w.attempts), " ", w.now)}
+	w.runs[a.id] = append(w.runs[a.id], a.run)
+}
+
+func (w *world) end(a *attempt) {
+	if isClosed(a.ticket.ended) {
+		return
+	}
+	switch rapid.SampledFrom([]string{"done", "unknown", "not run"}).Draw(w.t, "end") {
+	case "done":
+		a.ticket.Done(Result{Status: 200, Body: []byte(a.run.body)})
+	case "unknown":
+		a.ticket.Unknown("connection lost")
+	case "not run":
+		a.run.notRun = true
+		a.ticket.NotRun(ReasonOverload)
+	}
+}
+
+// answers checks the outcome of every ended ticket against its own run.
+func (w *world) answers() {
+	for _, a := range slices.Concat(w.attempts, w.attached) {
+		if !isClosed(a.ticket.ended) {
+			continue
+		}
+		d := a.ticket.outcome
+		for _, r := range w.open(a.id) {
+			same := d.Verdict == NotRun && r.ticket == a.ticket
+			require.False(w.t, same, "not run was told of an attempt that may have run")
+		}
+		if d.Verdict == Recorded {
+			w.check(a.id, d)
+		}
+	}
+	require.Zero(w.t, w.entries[0].Stats().Violations+w.entries[1].Stats().Violations)
+}
+
+// drain lets the store work again and checks that nothing stays unwritten.
+func (w *world) drain() {
+	for i, m := range w.entries {
+		if w.flying[i] != nil {
+			w.delayed = append(w.delayed, w.flying[i].tx)
+			m.settle(w.flying[i], platform.ErrUnknownOutcome)
+		}
+		for range 50 {
+			g := m.collect(w.now)
+			if len(g.recs) == 0 {
+				break
+			}
+			m.settle(g, w.table.Commit(context.Background(), g.tx))
+		}
+		for id, rec := range m.records {
+			open := rec.machine.phase == granted || rec.machine.phase == dispatched
+			require.True(w.t, open || rec.machine.settled(), "unwritten claim %s", id.Key)
+			require.True(w.t, open || rec.machine.issued, "key kept in memory without need")
+		}
+	}
+	for _, tx := range w.delayed {
+		_ = w.table.Commit(context.Background(), tx)
+	}
+	w.noLeftovers()
+}
+
+// noLeftovers checks that a row is claimed by a live entry only while that
+// entry has the attempt open; it would become a false "unknown" later.
+func (w *world) noLeftovers() {
+	for key, stored := range w.table.rows {
+		r, err := decodeRow(stored.Value)
+		require.NoError(w.t, err)
+		id, err := parseRowKey(key)
+		require.NoError(w.t, err)
+		for _, m := range w.entries {
+			leftover := r.State == stateClaimed && r.owner() == m.cfg.Self && m.records[id] == nil
+			require.False(w.t, leftover, "claimed row without an attempt")
+		}
+	}
+}
+
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// steps lists the actions. rapid draws low indexes more often, and a crash or
+// pause undoes what came before, so these come last.
+func (w *world) steps() []func() {
+	return []func(){
+		w.caller, w.collect, w.settle, w.begin, w.caller, w.collect, w.settle, w.begin,
+		w.caller, w.collect, w.settle, w.renewKey, w.landDelayed, w.crash, w.pause, w.collect,
+	}
+}
+
+// Guards against a second run, a false "not run", a foreign result and a
+// claim that is never resolved, under crashes, pauses, lost and late writes
+// and outages.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(rt)
+		steps := w.steps()
+		for range 300 {
+			i := rapid.IntRange(0, len(steps)-1).Draw(rt, "step")
+			steps[i]()
+			w.answers()
+		}
+		w.drain()
+		w.answers()
+	})
+}
--- a/pkg/claim/row.go
+++ b/pkg/claim/row.go
@@ -45,7 +45,10 @@
 
 func (r *row) encode() ([]byte, error) {
 	data, err := json.Marshal(r)
-	return data, errors.Wrap(err, "encode claim")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode claim")
+	}
+	return data, nil
 }
 
 func decodeRow(data []byte) (*row, error) {
