--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -114,11 +114,16 @@
 		Self:    self,
 		Table:   e.platform,
 		Entries: e.configuredEntries,
+		Live:    e.incarnationLive,
 		Logger:  e.log,
 	})
 	if err := e.buildPeers(); err != nil {
 		return nil, err
 	}
+	e.metrics.publish("claims", func() any { return e.claims.Stats() })
+	e.metrics.publish("archive", func() any { return e.archiver.Stats() })
+	e.metrics.publish("peer_sessions", func() any { return e.peerServer.Stats() })
+	e.metrics.publish("buffered_bytes", func() any { return e.buffers.used.Load() })
 	return e, e.buildListeners()
 }
 
@@ -284,6 +289,17 @@
 	return 0
 }
 
+// incarnationLive reports whether an incarnation is known to be running.
+func (e *Entry) incarnationLive(i claim.Incarnation) bool {
+	if i == e.self {
+		return true
+	}
+	e.membersMu.Lock()
+	defer e.membersMu.Unlock()
+	st := e.members.Peer(i.Entry)
+	return st.Incarnation == i.Number && st.State != membership.StateGone
+}
+
 func (e *Entry) configuredEntries() int {
 	if v := e.currentView(); v != nil {
 		return len(v.doc.Deployment.EntryInstances)
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -48,6 +48,11 @@
 	return m
 }
 
+// publish adds a value that is computed when it is read.
+func (m *metrics) publish(name string, value func() any) {
+	m.root.Set(name, expvar.Func(value))
+}
+
 func (m *metrics) countRefusal(r Reason) { m.refusals.Add(string(r), 1) }
 
 func (m *metrics) countOutcome(o wire.Outcome) { m.outcomes.Add(outcomeName(o), 1) }
