shift: use whole requests only for allowances of one or more

Cause: a seat whose allowance is 7.5 moved 8 requests in a window with a turn and could return only 7 in a later one without; until the eighth went away again every request of that home was refused. Ruled out: unknown servers (the view was stored last already). Now floor(c) is used when c is 1 or more.

TestIncreaseCanReturn fails before (start 10, step 38: 12 of 20 passed) and passes after. A first form of the test with a single start passed on the old code as well and was replaced.

--- a/pkg/shift/counter.go
+++ b/pkg/shift/counter.go
@@ -91,7 +91,7 @@
 	// a whole request.
 	const rounding = 1e-9
 	base := math.Floor(perWindow + rounding)
-	if cfg.Seats <= 0 {
+	if cfg.Seats <= 0 || base >= 1 {
 		return int(base)
 	}
 	extra := int64(math.Floor(float64(cfg.Seats)*(perWindow-base) + rounding))
@@ -118,6 +118,9 @@
 	if p.remote() && c.current < c.first {
 		return false
 	}
+	if !p.remote() && !c.anyRemote() {
+		return true // nothing can return
+	}
 	for j := c.current - SubWindows + 1; j <= c.current; j++ {
 		var ok bool
 		if p.remote() {
@@ -132,6 +135,17 @@
 	return true
 }
 
+// anyRemote reports whether a request was served outside its home region within
+// the counts that are kept.
+func (c *counter) anyRemote() bool {
+	for p := range c.pairs {
+		if p.remote() {
+			return true
+		}
+	}
+	return false
+}
+
 // increase adds up the rises of the remote counts in window j, with one more
 // request of a pair. A pair whose count falls does not offset another one.
 func (c *counter) increase(j int64, add pair) int {
--- a/pkg/shift/shift.go
+++ b/pkg/shift/shift.go
@@ -39,11 +39,15 @@
 // # Fractions
 //
 // Counts are integers, so a seat with allowance c may use floor(c) in each
-// window. What is left, E = floor(n*(c - floor(c))), is given as one request
-// each to E seats in turn. Turns are assigned to the starts of windows in
-// epochs of 20 sub-windows, so in every window exactly E seats have a turn and
-// the sum over seats never exceeds C. A seat without Config.Seats gets no turn.
-// With C below 1 no request may shift at all.
+// window. If c is below 1, E = floor(n*c) seats have one request each, in turn.
+// Turns are assigned to the starts of windows in epochs of 20 sub-windows, so
+// in every window exactly E seats have a turn and the sum over seats never
+// exceeds C. A seat without Config.Seats gets no turn. With C below 1 no
+// request may shift at all.
+//
+// A seat with c of 1 or more gets no turn: an increase of floor(c)+1 in one
+// window could not return in a later one without a turn, and until then every
+// request of that home was refused (seen in the demo).
 //
 // # Start and changes
 //
--- a/pkg/shift/shift_test.go
+++ b/pkg/shift/shift_test.go
@@ -137,6 +137,24 @@
 	require.Equal(t, 7, send(l, at(23*time.Second), "dar", "mwanza", 9))
 }
 
+// Guards against an increase that is too large to return: until it could, every
+// request of that home was refused.
+func TestIncreaseCanReturn(t *testing.T) {
+	for start := range 2 * ring {
+		l := NewLimiter(Config{Start: epoch, NoPredecessor: true, Seat: 0, Seats: 8})
+		l.SetCap(key, 7.5, window)
+		now := at(time.Duration(start) * time.Second)
+		send(l, now, "dar", "dar", 5)
+		for send(l, now, "dar", "mwanza", 1) == 1 {
+		}
+		// The load grows, and nothing is sent away any more.
+		for i := range 60 {
+			now = now.Add(500 * time.Millisecond)
+			require.Equal(t, 20, send(l, now, "dar", "dar", 20), "start %d, step %d", start, i)
+		}
+	}
+}
+
 // Guards against a fraction of a request that is lost for ever or that several
 // seats use in the same window.
 func TestFractionsTakeTurns(t *testing.T) {
