Wait for the home region before sending a request elsewhere

Cause: with every local slot taken a request went to another region at once, although a slot at home mostly comes free within the round trip that the other region costs; it used up shift cap and later had to return. Now the order is: a free slot in the home region, a wait there of one round trip to the nearest other region, a free slot elsewhere, the queue at home. An interactive request waits at most its latency objective in a queue. Forward carries the longest wait in place of a flag. The demo sets the contract's nominal rates to its load.

--- a/cmd/drdemo/demo.go
+++ b/cmd/drdemo/demo.go
@@ -17,6 +17,7 @@
 	backendstandin "github.com/dandelionrack/dandelionrack/internal/standin/backend"
 	"github.com/dandelionrack/dandelionrack/internal/testbed"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/settings"
 )
 
 // serviceTime is the median service time of the stand-ins for backend servers.
@@ -31,6 +32,8 @@
 	bed   *testbed.Bed
 	token string
 	dir   string
+	// deployment is the sample as it stands in its file.
+	deployment config.Deployment
 }
 
 func run(ctx context.Context, cl commandLine) error {
@@ -44,10 +47,14 @@
 		defer func() { _ = os.RemoveAll(dir) }()
 	}
 	d := &demo{cl: cl, token: cl.Deployment + "-token", dir: dir}
+	folder := filepath.Join(cl.Deploy, cl.Deployment)
+	if err := settings.Load(filepath.Join(folder, "deployment.json"), &d.deployment, nil); err != nil {
+		return err
+	}
 	started := time.Now()
 	d.bed, err = testbed.Start(ctx, testbed.Options{
 		Bin:        cl.Bin,
-		Deployment: filepath.Join(cl.Deploy, cl.Deployment),
+		Deployment: folder,
 		Dir:        dir,
 		Delays:     testbed.DelaysOf(cl.Deployment),
 		Work: backendstandin.Work{
@@ -57,6 +64,7 @@
 			Max:          config.Duration(500 * time.Millisecond),
 			BodySize:     2000,
 		},
+		Contract: d.setRates,
 	})
 	if err != nil {
 		return err
@@ -67,6 +75,24 @@
 	return d.drive(ctx)
 }
 
+// setRates makes the nominal rates of the contract those of the demo's load.
+func (d *demo) setRates(c *config.Contract) {
+	for i := range c.Services {
+		c.Services[i].ShiftCap.Rate = d.rate(&c.Services[i])
+	}
+}
+
+// rate is the load of a service in requests per second.
+func (d *demo) rate(svc *config.Service) float64 {
+	slots := 0
+	for _, s := range d.deployment.BackendServers {
+		if slices.Contains(s.Services, svc.Name) {
+			slots += s.Slots
+		}
+	}
+	return d.cl.Load * float64(slots) / serviceTime.Seconds()
+}
+
 // drive sends load, drains a backend server in the middle, and reports.
 func (d *demo) drive(ctx context.Context) error {
 	callers, err := d.bed.Callers(4, d.token)
@@ -100,12 +126,6 @@
 
 // streams loads every service at the wanted share of its slots.
 func (d *demo) streams() []loadgen.Stream {
-	slots := map[string]int{}
-	for _, s := range d.bed.Deployment().BackendServers {
-		for _, name := range s.Services {
-			slots[name] += s.Slots
-		}
-	}
 	var out []loadgen.Stream
 	for _, svc := range d.bed.Contract().Services {
 		name := svc.Name
@@ -114,7 +134,7 @@
 		}
 		out = append(out, loadgen.Stream{
 			Service:    name,
-			Rate:       d.cl.Load * float64(slots[svc.Name]) / serviceTime.Seconds(),
+			Rate:       d.rate(&svc),
 			AtMostOnce: !svc.Idempotent,
 			Timeout:    svc.Timeout.Std(),
 		})
--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -30,7 +30,7 @@
 	entry   config.EntryInstance
 	attempt uint32
 	owner   bool
-	noQueue bool
+	maxWait time.Duration // for a slot; 0 refuses at once
 	exclude []string
 }
 
@@ -79,7 +79,7 @@
 		Body:           req.body,
 		IdempotencyKey: req.key.Raw,
 		Owner:          o.owner,
-		NoQueue:        o.noQueue,
+		MaxQueueMs:     o.maxWait.Milliseconds(),
 		AtMostOnce:     !req.service.Idempotent,
 		ExcludeServers: o.exclude,
 	}
@@ -185,7 +185,7 @@
 	}
 	return e.admitAndCall(ctx, req, admitOptions{
 		attempt: f.GetAttempt(),
-		noQueue: f.GetNoQueue(),
+		maxWait: time.Duration(f.GetMaxQueueMs()) * time.Millisecond,
 		exclude: f.GetExcludeServers(),
 	})
 }
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -46,7 +46,8 @@
 	priority config.Priority
 	deadline time.Time
 	exclude  []string
-	noQueue  bool
+	// maxWait is how long to wait for a slot; 0 refuses at once.
+	maxWait time.Duration
 }
 
 func newGate(ctl *admission.Controller, onPause func(gap time.Duration)) *gate {
@@ -62,11 +63,15 @@
 	case admission.Refused:
 		return nil, Reason(decision.Reason)
 	}
+	patience := time.NewTimer(r.maxWait)
+	defer patience.Stop()
 	select {
 	case ev := <-wait:
 		return g.granted(id, ev)
+	case <-patience.C:
+		return g.abandon(id, wait, ReasonOverload)
 	case <-ctx.Done():
-		return g.abandon(id, wait)
+		return g.abandon(id, wait, ReasonDeadline)
 	}
 }
 
@@ -86,7 +91,7 @@
 		Rank:     r.priority.Rank(),
 		Deadline: r.deadline,
 		Exclude:  r.exclude,
-		NoQueue:  r.noQueue,
+		NoQueue:  r.maxWait <= 0,
 	})
 	var wait chan admission.Event
 	if decision.Kind == admission.Queued {
@@ -106,7 +111,7 @@
 }
 
 // abandon gives up waiting. A grant that came at the same moment is returned.
-func (g *gate) abandon(id uint64, wait chan admission.Event) (*slot, Reason) {
+func (g *gate) abandon(id uint64, wait chan admission.Event, why Reason) (*slot, Reason) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.waiters, id)
@@ -118,7 +123,7 @@
 	default:
 		g.dispatch(g.ctl.Cancel(time.Now(), id))
 	}
-	return nil, ReasonDeadline
+	return nil, why
 }
 
 // dispatch hands events to their waiters. The caller holds the lock.
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -62,7 +62,7 @@
 	default:
 		h.excludeEntries = append(h.excludeEntries, at.entry)
 	}
-	if len(h.plan()) == 0 || !s.e.allowRetry(s.req) {
+	if near, far, _ := h.plan(); len(near)+len(far) == 0 || !s.e.allowRetry(s.req) {
 		return nil
 	}
 	s.attempt++
--- a/pkg/entry/local.go
+++ b/pkg/entry/local.go
@@ -13,7 +13,7 @@
 
 type admitOptions struct {
 	attempt uint32
-	noQueue bool
+	maxWait time.Duration // for a slot; 0 refuses at once
 	exclude []string
 	// admitted is called when a slot was found, before anything is sent.
 	admitted func(server string)
@@ -28,7 +28,7 @@
 		priority: req.service.Priority,
 		deadline: req.deadline,
 		exclude:  o.exclude,
-		noQueue:  o.noQueue,
+		maxWait:  o.maxWait,
 	})
 	waited := time.Since(started)
 	if s == nil {
--- a/pkg/entry/steer.go
+++ b/pkg/entry/steer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dandelionrack/dandelionrack/pkg/admission"
+	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/membership"
 	"github.com/dandelionrack/dandelionrack/pkg/routing"
 	"github.com/dandelionrack/dandelionrack/pkg/trace"
@@ -22,6 +23,10 @@
 	// regionReserve is how many free slots another region must report before
 	// it gets a request from here, so that its own callers find room.
 	regionReserve = 2
+	// patienceShare and minPatience bound the wait for a slot in the home
+	// region before other regions are asked.
+	patienceShare = 4
+	minPatience   = 5 * time.Millisecond
 )
 
 // steering is the search for an answer to one request.
@@ -94,37 +99,82 @@
 	return s.e.allowRetry(s.req)
 }
 
-// try looks for a free slot at the planned places, then waits for one.
+// try looks for a slot in the home region first. Only when none comes free
+// within the time that another region would cost does it ask there: a request
+// that is sent away uses up the shift cap and, later, has to return.
 func (s *steering) try(ctx context.Context) reply {
-	rep := s.tryFree(ctx)
-	if !rep.isNotRun() || rep.server != "" {
+	s.attempt++
+	near, far, reason := s.plan()
+	rep := s.tryEach(ctx, near, reason)
+	if !wantsOther(rep) {
 		return rep
 	}
-	return s.wait(ctx, rep)
+	if len(far) > 0 {
+		if rep = s.wait(ctx, rep, s.patience(far)); !wantsOther(rep) {
+			return rep
+		}
+		if rep = s.tryEach(ctx, far, reason); !wantsOther(rep) {
+			return rep
+		}
+	}
+	return s.wait(ctx, rep, s.longestWait())
 }
 
-// tryFree asks the planned places for a free slot, best first.
+// tryFree asks the planned places for a free slot, best first, and never
+// waits.
 func (s *steering) tryFree(ctx context.Context) reply {
 	s.attempt++
-	plan := s.plan()
-	last := notRun(ReasonNoBackendServer, "no entry instance can take a request for service %s", s.req.service.Name)
-	for _, c := range plan[:min(len(plan), maxPlaces)] {
-		last = s.tryPlace(ctx, c, true)
-		if !last.isNotRun() || last.server != "" {
+	near, far, reason := s.plan()
+	return s.tryEach(ctx, append(near, far...), reason)
+}
+
+// wantsOther reports whether another place may be asked: no backend server got
+// the request.
+func wantsOther(rep reply) bool {
+	return rep.isNotRun() && rep.server == ""
+}
+
+// tryEach asks places for a free slot. reason is the refusal when there is none.
+func (s *steering) tryEach(ctx context.Context, places []routing.Candidate, reason Reason) reply {
+	last := notRun(reason, "no entry instance can take a request for service %s now", s.req.service.Name)
+	for _, c := range places[:min(len(places), maxPlaces)] {
+		if last = s.tryPlace(ctx, c, 0); !wantsOther(last) {
 			return last
 		}
 	}
 	return last
 }
 
+// patience is the round trip to the nearest of the other places, within a part
+// of the time that is left.
+func (s *steering) patience(far []routing.Candidate) time.Duration {
+	shortest := s.req.timeLeft(time.Now()) / patienceShare
+	for _, c := range far {
+		shortest = min(shortest, 2*s.req.view.delay(s.req.view.region, c.Region))
+	}
+	return max(shortest, minPatience)
+}
+
+// longestWait bounds the time in a queue. An interactive request that has
+// waited for its whole latency objective is refused, because its answer would
+// count as bad and the wait would only make later requests late as well.
+func (s *steering) longestWait() time.Duration {
+	left := s.req.timeLeft(time.Now())
+	objective := s.req.service.Objective.Latency.Std()
+	if s.req.service.Priority == config.PriorityInteractive && objective > 0 {
+		return min(left, objective)
+	}
+	return left
+}
+
 // wait queues the request where it would be served best. refused is the reply
 // if there is no place to wait.
-func (s *steering) wait(ctx context.Context, refused reply) reply {
+func (s *steering) wait(ctx context.Context, refused reply, maxWait time.Duration) reply {
 	place, ok := s.waitingPlace()
 	if !ok {
 		return refused
 	}
-	rep := s.tryPlace(ctx, place, false)
+	rep := s.tryPlace(ctx, place, maxWait)
 	if rep.isNotRun() && rep.reason == reasonPeerUnreachable {
 		return notRun(ReasonOverload, "no entry instance with a slot could be reached")
 	}
@@ -132,7 +182,7 @@
 }
 
 // waitingPlace is the first place of the routing order that has servers of the
-// service, whatever its free slots.
+// service, whatever its free slots. The home region comes first.
 func (s *steering) waitingPlace() (routing.Candidate, bool) {
 	in := s.input()
 	for i := range in.Peers {
@@ -140,7 +190,8 @@
 		in.Peers[i].Free = max(in.Peers[i].Free, 1)
 	}
 	in.RegionReserve = 0
-	for _, c := range routing.Candidates(in) {
+	near, far := s.byHome(routing.Candidates(in))
+	for _, c := range append(near, far...) {
 		if s.hasServers(c.FailureDomain) {
 			return c, true
 		}
@@ -158,20 +209,40 @@
 	return false
 }
 
-// plan returns the places to ask for a free slot, best first.
-func (s *steering) plan() []routing.Candidate {
+// plan returns the places with free slots, best first, those of the home
+// region apart, and the reason to give when there is none.
+func (s *steering) plan() (near, far []routing.Candidate, reason Reason) {
 	candidates, excluded := routing.Plan(s.input())
+	reason = ReasonNoBackendServer
+	if len(s.req.view.byService[s.req.service.Name]) > 0 {
+		reason = ReasonOverload
+	}
 	for _, x := range excluded {
 		s.e.metrics.routeExclusions.Add(x.Reason, 1)
+		if x.Reason == routing.ReasonNotPermitted || x.Reason == routing.ReasonOnly {
+			reason = ReasonShiftCap
+		}
 	}
-	out := candidates[:0]
+	free := candidates[:0]
 	for _, c := range candidates {
-		if c.Local && c.Free == 0 {
-			continue
+		if !c.Local || c.Free > 0 {
+			free = append(free, c)
 		}
-		out = append(out, c)
 	}
-	return out
+	near, far = s.byHome(free)
+	return near, far, reason
+}
+
+// byHome splits places into those of the home region and the others.
+func (s *steering) byHome(places []routing.Candidate) (near, far []routing.Candidate) {
+	for _, c := range places {
+		if c.Region == s.req.homeRegion {
+			near = append(near, c)
+		} else {
+			far = append(far, c)
+		}
+	}
+	return near, far
 }
 
 func (s *steering) input() routing.Input {
@@ -207,8 +278,9 @@
 	return ok
 }
 
-// tryPlace asks one entry instance, this one or a peer, for a slot.
-func (s *steering) tryPlace(ctx context.Context, c routing.Candidate, noQueue bool) reply {
+// tryPlace asks one entry instance, this one or a peer, for a slot and waits
+// for it up to maxWait.
+func (s *steering) tryPlace(ctx context.Context, c routing.Candidate, maxWait time.Duration) reply {
 	reservation, ok := s.e.reserveShift(s.req, c.Region)
 	if !ok {
 		s.e.span(s.req, trace.Span{Kind: "skip", Attempt: int(s.attempt), Peer: c.Entry, Reason: string(ReasonShiftCap)})
@@ -219,7 +291,7 @@
 	if c.Local {
 		rep = s.e.admitAndCall(ctx, s.req, admitOptions{
 			attempt: s.attempt,
-			noQueue: noQueue,
+			maxWait: maxWait,
 			exclude: s.excludeServers,
 			admitted: func(server string) {
 				s.place.Store(&place{entry: c.Entry, server: server})
@@ -229,7 +301,7 @@
 		rep = s.e.forward(ctx, s.req, forwardOptions{
 			entry:   s.req.view.entries[c.Entry],
 			attempt: s.attempt,
-			noQueue: noQueue,
+			maxWait: maxWait,
 			exclude: s.excludeServers,
 		})
 	}
