--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -182,7 +182,7 @@
 	}), e.afterPause)
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	e.poller = backend.NewPoller(background, backend.PollerConfig{}, e.handleReport)
+	e.poller = backend.NewPoller(background, backend.PollerConfig{Interval: reportInterval}, e.handleReport)
 	group, groupCtx := errgroup.WithContext(background)
 	group.Go(func() error { return e.callers.Serve(listeners.callers) })
 	group.Go(func() error { return e.operators.Serve(listeners.operators) })
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -9,9 +9,13 @@
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 )
 
-// gateTick is how often queued requests and held slots are looked at. It bounds
-// how late an expired deadline is noticed.
-const gateTick = 5 * time.Millisecond
+// Intervals of ticks. busyTick bounds how late an expired deadline or a freed
+// slot is noticed while requests are queued. Without a queue nothing is due,
+// and a tick only shows that this process is not paused.
+const (
+	busyTick = 5 * time.Millisecond
+	idleTick = 200 * time.Millisecond
+)
 
 // pauseLimit is the gap between two ticks after which this process counts as
 // having been paused. Its configuration, and so its shares, may be outdated.
@@ -25,6 +29,7 @@
 	waiters map[uint64]chan admission.Event
 	lastID  uint64
 
+	wake      chan struct{} // a request was queued
 	lastTick  time.Time
 	suspended bool
 	// onPause is called without the lock when a pause was noticed. It has to
@@ -51,7 +56,7 @@
 }
 
 func newGate(ctl *admission.Controller, onPause func(gap time.Duration)) *gate {
-	return &gate{ctl: ctl, waiters: map[uint64]chan admission.Event{}, onPause: onPause}
+	return &gate{ctl: ctl, waiters: map[uint64]chan admission.Event{}, wake: make(chan struct{}, 1), onPause: onPause}
 }
 
 // acquire returns a slot, or the reason why there is none.
@@ -99,6 +104,10 @@
 		g.waiters[id] = wait
 		// A full queue may have shed a request of lower priority.
 		g.dispatch(g.ctl.Tick(now))
+		select {
+		case g.wake <- struct{}{}:
+		default:
+		}
 	}
 	return id, decision, wait
 }
@@ -129,6 +138,10 @@
 // dispatch hands events to their waiters. The caller holds the lock.
 func (g *gate) dispatch(events []admission.Event) {
 	for _, ev := range events {
+		if ev.Kind == admission.Granted && g.suspended {
+			g.dispatch(g.ctl.Release(time.Now(), ev.ID, time.Time{}))
+			ev = admission.Event{Kind: admission.Expired, ID: ev.ID, Reason: string(ReasonNotReady)}
+		}
 		wait, ok := g.waiters[ev.ID]
 		if !ok {
 			if ev.Kind == admission.Granted {
@@ -170,17 +183,18 @@
 	g.lastTick = time.Now()
 }
 
-// tick advances the controller. While admission is suspended no queued request
-// is granted.
-func (g *gate) tick() {
+// tick advances the controller and returns the time until the next tick.
+func (g *gate) tick() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
 	g.noticePause(now)
 	g.lastTick = now
-	if !g.suspended {
-		g.dispatch(g.ctl.Tick(now))
+	g.dispatch(g.ctl.Tick(now))
+	if len(g.waiters) > 0 {
+		return busyTick
 	}
+	return idleTick
 }
 
 // update changes the controller and hands out the events that follow.
@@ -188,6 +202,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	g.noticePause(now)
 	g.dispatch(change(g.ctl, now))
 }
 
@@ -206,14 +221,15 @@
 }
 
 func (g *gate) run(ctx context.Context) {
-	t := time.NewTicker(gateTick)
-	defer t.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.C:
-			g.tick()
+		case <-g.wake:
+		case <-timer.C:
 		}
+		timer.Reset(g.tick())
 	}
 }
--- a/pkg/entry/heartbeat.go
+++ b/pkg/entry/heartbeat.go
@@ -57,7 +57,7 @@
 		return
 	}
 	for _, target := range v.doc.Deployment.EntryInstances {
-		if target.ID == e.settings.ID {
+		if target.ID == e.settings.ID || e.heardJustNow(target.ID) {
 			continue
 		}
 		if _, running := busy.LoadOrStore(target.ID, true); running {
@@ -72,6 +72,16 @@
 	e.updateLeaving(v)
 }
 
+// heardJustNow reports whether a heartbeat of the peer arrived within the last
+// interval. A call carries the heartbeats of both sides, so one call in either
+// direction is enough for both.
+func (e *Entry) heardJustNow(id string) bool {
+	e.membersMu.Lock()
+	defer e.membersMu.Unlock()
+	st := e.members.Peer(id)
+	return st.State == membership.StateReady && time.Since(st.LastHeard) < heartbeatInterval*3/4
+}
+
 func (e *Entry) sendHeartbeat(ctx context.Context, target config.EntryInstance) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -29,7 +29,7 @@
 const maxUnresolved = 1000
 
 func (e *Entry) operatorRoutes() []rest.Route {
-	routes := operator.Routes(e, e.settings.OperatorToken)
+	routes := append(operator.Routes(e, e.settings.OperatorToken), e.profileRoutes()...)
 	return append(routes, rest.Route{Method: http.MethodGet, Path: "/debug/vars", Handler: e.handleVars})
 }
 
--- a/pkg/entry/servers.go
+++ b/pkg/entry/servers.go
@@ -9,6 +9,10 @@
 	"github.com/dandelionrack/dandelionrack/pkg/platform"
 )
 
+// reportInterval leaves time for one lost report within the 3 s after which a
+// leaving backend server gets no new work.
+const reportInterval = time.Second
+
 // Reasons for which a backend server counts as leaving.
 const (
 	leavingByDrain    = "drain"
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -115,7 +115,7 @@
 		_ = conn.Close()
 		return
 	}
-	mux, err := yamux.Server(conn, s.cfg.yamux(s.cfg.BulkTimeout))
+	mux, err := yamux.Server(conn, s.serverYamux())
 	if err != nil {
 		s.cfg.Logger.Error("cannot start a peer session", "address", host, "error", err)
 		_ = conn.Close()
@@ -224,3 +224,14 @@
 	}
 	wg.Wait()
 }
+
+// serverKeepAliveFactor makes the accepting side ping less often: the dialing
+// side's pings find a frozen session, and pings of both sides on every session
+// were the largest part of an idle instance's CPU time.
+const serverKeepAliveFactor = 20
+
+func (s *Server) serverYamux() *yamux.Config {
+	y := s.cfg.yamux(s.cfg.BulkTimeout)
+	y.KeepAliveInterval *= serverKeepAliveFactor
+	return y
+}
