--- a/Makefile
+++ b/Makefile
@@ -26,5 +26,9 @@
 	$(GO) build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
 	protoc --plugin=bin/protoc-gen-go --go_out=. --go_opt=paths=source_relative pkg/wire/wire.proto
 
+# The tests of whole deployments that are too long for every test run.
+scenarios:
+	SCENARIOS=all $(GO) test -count=1 -timeout 20m ./test/scenarios
+
 clean:
 	rm -rf bin out
--- a/internal/loadgen/caller.go
+++ b/internal/loadgen/caller.go
@@ -43,7 +43,9 @@
 	Attempts      int           `json:"attempts"`
 	SentAt        time.Time     `json:"sent_at"`
 	Latency       time.Duration `json:"latency_ns"`
-	Body          []byte        `json:"-"`
+	// NextKey is the entry-issued key that a refusal offered.
+	NextKey string `json:"next_key,omitempty"`
+	Body    []byte `json:"-"`
 }
 
 // Caller is one client of the system with its own cache of lookups. It is
@@ -184,6 +186,7 @@
 	var refusal entry.Refusal
 	_ = json.Unmarshal(body, &refusal)
 	res.Reason = string(refusal.Reason)
+	res.NextKey = refusal.NextKey
 	return res, true, isFinal(r, res)
 }
 
--- /dev/null
+++ b/internal/loadgen/once.go
@@ -0,0 +1,53 @@
+package loadgen
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionrack/dandelionrack/pkg/entry"
+)
+
+// CallEntry makes one attempt at the entry instance with a caller address,
+// without lookup and without retry.
+func (c *Caller) CallEntry(ctx context.Context, r Request, addr string) Result {
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
+	defer cancel()
+	res, sent, _ := c.send(ctx, r, entry.LookupEntry{Addr: addr})
+	if !sent {
+		res.Outcome = OutcomeNotRun
+		res.Reason = "no_entry"
+	}
+	res.Attempts = 1
+	res.SentAt = started
+	res.Latency = time.Since(started)
+	return res
+}
+
+// IssueKey asks an entry instance for an entry-issued key.
+func (c *Caller) IssueKey(ctx context.Context, service, addr string) (string, error) {
+	target := "http://" + c.reach(addr) + "/v1/keys?service=" + url.QueryEscape(service)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, nil)
+	if err != nil {
+		return "", err
+	}
+	c.identify(req)
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return "", errors.Errorf("issue a key: status %d", resp.StatusCode)
+	}
+	var answer entry.KeyAnswer
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		return "", errors.Wrap(err, "issue a key")
+	}
+	return answer.Key, nil
+}
--- a/internal/standin/backend/fleet.go
+++ b/internal/standin/backend/fleet.go
@@ -67,7 +67,7 @@
 func (f *Fleet) Close() error {
 	var errs []error
 	for _, s := range f.servers {
-		errs = append(errs, s.http.Close())
+		errs = append(errs, s.close())
 	}
 	if f.admin != nil {
 		errs = append(errs, f.admin.Close())
--- a/internal/standin/backend/fleet_test.go
+++ b/internal/standin/backend/fleet_test.go
@@ -195,3 +195,31 @@
 	}
 	require.InDelta(t, draws/2, below, draws/50, "the service time is the median")
 }
+
+// Guards against a server that is down but still answers, keeps connections
+// open, or does not come back on its address.
+func TestDownServerRefusesConnections(t *testing.T) {
+	f, err := Start(Settings{Admin: "127.0.0.1:0", Servers: []ServerSettings{{ID: "a-1", Addr: "127.0.0.1:0", Slots: 1}}})
+	require.NoError(t, err)
+	defer func() { require.NoError(t, f.Close()) }()
+	url := "http://" + f.Addr("a-1") + "/x"
+	down := func(v bool) {
+		_, err := f.SetMode("a-1", func(m *Mode) error {
+			m.Down = v
+			return nil
+		})
+		require.NoError(t, err)
+	}
+	get := func() error {
+		resp, err := http.Get(url)
+		if err != nil {
+			return err
+		}
+		return resp.Body.Close()
+	}
+	require.NoError(t, get())
+	down(true)
+	require.Error(t, get())
+	down(false)
+	require.NoError(t, get())
+}
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -33,9 +33,11 @@
 	sampler  *sampler
 	ledger   *ledger
 	listener *limitedListener
-	http     *http.Server
+	handler  http.Handler
 
 	mu        sync.Mutex
+	http      *http.Server
+	served    chan struct{} // closed when http has stopped accepting
 	mode      Mode
 	stats     Stats
 	coldSince time.Time
@@ -43,16 +45,12 @@
 }
 
 func startServer(settings ServerSettings, work Work, openDelay time.Duration, sampler *sampler, ledger *ledger) (*server, error) {
-	l, err := net.Listen("tcp", settings.Addr)
-	if err != nil {
-		return nil, errors.Wrapf(err, "backend server %s", settings.ID)
-	}
 	s := &server{
 		settings:  settings,
 		work:      work,
 		sampler:   sampler,
 		ledger:    ledger,
-		listener:  &limitedListener{Listener: l, limit: int64(settings.MaxConnections), openDelay: openDelay},
+		listener:  &limitedListener{limit: int64(settings.MaxConnections), openDelay: openDelay},
 		mode:      Mode{Load: LoadHonest, Health: HealthHonest},
 		coldSince: time.Now(),
 	}
@@ -60,12 +58,50 @@
 	mux.HandleFunc("GET /health", s.handleHealth)
 	mux.HandleFunc("GET /load", s.handleLoad)
 	mux.HandleFunc("/", s.handleRun)
-	s.http = &http.Server{Handler: mux}
-	go func() { _ = s.http.Serve(s.listener) }()
+	s.handler = mux
+	if err := s.open(); err != nil {
+		return nil, err
+	}
 	return s, nil
 }
 
-func (s *server) addr() string { return s.listener.Addr().String() }
+// open listens and serves. The caller holds the lock, or has the only
+// reference.
+func (s *server) open() error {
+	l, err := net.Listen("tcp", s.settings.Addr)
+	if err != nil {
+		return errors.Wrapf(err, "backend server %s", s.settings.ID)
+	}
+	s.settings.Addr = l.Addr().String() // a server that was down returns to the same port
+	s.listener.Listener = l
+	served, h := make(chan struct{}), &http.Server{Handler: s.handler}
+	s.http, s.served = h, served
+	go func() {
+		defer close(served)
+		_ = h.Serve(s.listener)
+	}()
+	return nil
+}
+
+// shut refuses new connections and breaks the open ones, which cancels their
+// runs. The caller holds the lock.
+func (s *server) shut() error {
+	err := s.http.Close()
+	<-s.served // the listener must not be replaced while it accepts
+	return err
+}
+
+func (s *server) close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shut()
+}
+
+func (s *server) addr() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.settings.Addr
+}
 
 // acquire takes a slot. It counts the request in any case.
 func (s *server) acquire(now time.Time) bool {
@@ -122,10 +158,27 @@
 	case !s.mode.Draining:
 		s.stats.DrainingSince = now
 	}
+	if err := s.follow(m.Down); err != nil {
+		return err
+	}
 	s.mode = m
 	return nil
 }
 
+// follow makes the listener agree with a change of the mode. The caller holds
+// the lock.
+func (s *server) follow(down bool) error {
+	switch {
+	case down && !s.mode.Down:
+		return s.shut()
+	case !down && s.mode.Down:
+		s.coldSince = time.Now()
+		return s.open()
+	default:
+		return nil
+	}
+}
+
 func (s *server) snapshot() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/backend/settings.go
+++ b/internal/standin/backend/settings.go
@@ -105,6 +105,9 @@
 	// DelayAnswer holds back each answer after its run has ended and its slot
 	// is free.
 	DelayAnswer config.Duration `json:"delay_answer"`
+	// Down refuses connections and breaks the open ones, as a server that
+	// died does. Its runs are cancelled.
+	Down bool `json:"down"`
 	// Cold starts a new cold phase with the change.
 	Cold bool `json:"cold"`
 }
--- a/internal/testbed/audit.go
+++ b/internal/testbed/audit.go
@@ -19,7 +19,8 @@
 
 // Audit compares what callers were told with the runs of the backend servers:
 // no key runs twice, an answer needs a completed run, and a request that was
-// refused as not run has none.
+// refused as not run has none. A refusal speaks for its own attempt, so another
+// result of the same key may report a run.
 func Audit(results []loadgen.Result, runs []backendstandin.Run) []string {
 	byKey := map[string][]backendstandin.Run{}
 	byRequest := map[string][]backendstandin.Run{}
@@ -35,6 +36,7 @@
 			problems = append(problems, fmt.Sprintf("key %s ran %d times", key, len(list)))
 		}
 	}
+	mayHaveRun := keysThatMayHaveRun(results)
 	for _, r := range results {
 		list := byRequest[r.RequestID]
 		if r.Key != "" {
@@ -46,7 +48,8 @@
 				problems = append(problems, fmt.Sprintf("request %s (key %q) was answered without a completed run", r.RequestID, r.Key))
 			}
 		case loadgen.OutcomeNotRun:
-			if r.RequestID != "" && len(list) > 0 {
+			ran := len(byRequest[r.RequestID]) > 0 || (len(list) > 0 && !mayHaveRun[r.Key])
+			if r.RequestID != "" && ran {
 				problems = append(problems, fmt.Sprintf("request %s (key %q) was refused as not run (%s) but ran", r.RequestID, r.Key, r.Reason))
 			}
 		}
@@ -54,6 +57,17 @@
 	return problems
 }
 
+// keysThatMayHaveRun are the keys of results that do not say "not run".
+func keysThatMayHaveRun(results []loadgen.Result) map[string]bool {
+	out := map[string]bool{}
+	for _, r := range results {
+		if r.Key != "" && r.Outcome != loadgen.OutcomeNotRun {
+			out[r.Key] = true
+		}
+	}
+	return out
+}
+
 func anyCompleted(runs []backendstandin.Run) bool {
 	for _, r := range runs {
 		if r.Completed {
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -404,14 +404,19 @@
 	for _, p := range procs {
 		<-p.done
 	}
+	_ = b.layout.guard.Close()
 }
 
 func postJSON(ctx context.Context, url string, body any) error {
+	return sendJSON(ctx, http.MethodPost, url, body)
+}
+
+func sendJSON(ctx context.Context, method, url string, body any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
 	if err != nil {
 		return err
 	}
--- a/internal/testbed/layout.go
+++ b/internal/testbed/layout.go
@@ -42,6 +42,7 @@
 // layout is a deployment with the addresses of one bed.
 type layout struct {
 	base       int
+	guard      net.Listener // holds the port range
 	deployment config.Deployment
 	contract   config.Contract
 	links      []linkstandin.LinkSettings
@@ -73,34 +74,29 @@
 	if err := settings.Load(filepath.Join(dir, "contract.json"), &l.contract, nil); err != nil {
 		return nil, err
 	}
-	base, err := freeBase(l.deployment.EntryInstances[0].CallerAddr)
+	base, guard, err := reserveBase()
 	if err != nil {
 		return nil, err
 	}
-	l.base = base
+	l.base, l.guard = base, guard
 	l.movePorts()
 	l.addLinks(delays)
 	return l, nil
 }
 
-// freeBase finds a range of ports below the ephemeral range that no other bed
-// uses now.
-func freeBase(sample string) (int, error) {
+// reserveBase finds a range of ports below the ephemeral range and holds its
+// last port as long as the bed runs. Checking only that a range is free let two
+// beds that started at the same moment choose the same one.
+func reserveBase() (int, net.Listener, error) {
 	const first, last = 10000, 30000
-	host, _, err := net.SplitHostPort(sample)
-	if err != nil {
-		return 0, err
-	}
-	for range 100 {
+	for range 1000 {
 		base := first + rand.IntN((last-first)/portsPerBed)*portsPerBed
-		listener, err := net.Listen("tcp", net.JoinHostPort(host, strconv.Itoa(base)))
-		if err != nil {
-			continue
+		guard, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(base+portsPerBed-1)))
+		if err == nil {
+			return base, guard, nil
 		}
-		_ = listener.Close()
-		return base, nil
 	}
-	return 0, errors.New("no free port range found")
+	return 0, nil, errors.New("no free port range found")
 }
 
 func (l *layout) port(offset int) string { return strconv.Itoa(l.base + offset) }
--- /dev/null
+++ b/internal/testbed/partition.go
@@ -0,0 +1,84 @@
+package testbed
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	linkstandin "github.com/dandelionrack/dandelionrack/internal/standin/link"
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/platform"
+)
+
+// Partition says how links of a failure domain fail.
+type Partition struct {
+	Domain string
+	// PlatformOnly cuts the domain from the platform and from nothing else.
+	PlatformOnly bool
+	// Refuse resets connections and refuses new ones; without it, bytes are
+	// lost without a sign, as in a network partition.
+	Refuse bool
+}
+
+// linkChanges bounds the concurrent calls to the link stand-in.
+const linkChanges = 8
+
+// Cut separates a failure domain from the others and from the platform.
+// Callers and entry instances inside the domain still reach each other.
+func (b *Bed) Cut(ctx context.Context, p Partition) error {
+	inside := map[string]bool{}
+	for _, in := range b.layout.deployment.EntryInstances {
+		if in.FailureDomain == p.Domain {
+			inside[in.ID] = true
+		}
+	}
+	if len(inside) == 0 {
+		return errors.Errorf("no entry instance in failure domain %q", p.Domain)
+	}
+	state := map[string]any{"freeze": linkstandin.FreezeBoth}
+	if p.Refuse {
+		state = map[string]any{"cut": true}
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(linkChanges)
+	for _, name := range b.Links() {
+		if p.crosses(name, inside) {
+			group.Go(func() error { return b.Link(ctx, url.QueryEscape(name), state) })
+		}
+	}
+	return group.Wait()
+}
+
+// crosses reports whether a link leads into or out of the domain.
+func (p Partition) crosses(link string, inside map[string]bool) bool {
+	parts := strings.Split(link, "/")
+	switch parts[0] {
+	case "platform":
+		return inside[parts[1]]
+	case "peer":
+		return !p.PlatformOnly && inside[parts[1]] != inside[parts[2]]
+	case "caller":
+		return !p.PlatformOnly && (parts[1] == p.Domain) != inside[parts[2]]
+	default:
+		return false
+	}
+}
+
+// EntryInstance returns the configured entry instance with an id.
+func (b *Bed) EntryInstance(id string) (config.EntryInstance, error) {
+	for _, in := range b.layout.deployment.EntryInstances {
+		if in.ID == id {
+			return in, nil
+		}
+	}
+	return config.EntryInstance{}, errors.Errorf("no entry instance %q", id)
+}
+
+// Instances replaces the platform's instance list.
+func (b *Bed) Instances(ctx context.Context, list []platform.Instance) error {
+	return sendJSON(ctx, http.MethodPut, "http://"+b.layout.platformAddr()+"/admin/instances", list)
+}
--- /dev/null
+++ b/internal/testbed/shift.go
@@ -0,0 +1,97 @@
+package testbed
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/dandelionrack/dandelionrack/internal/loadgen"
+	backendstandin "github.com/dandelionrack/dandelionrack/internal/standin/backend"
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/shift/audit"
+)
+
+// Restart is a start of an entry instance after the first one.
+type Restart struct {
+	Entry string
+	At    time.Time
+}
+
+// AuditShift checks the runs of each service against the shift cap of the
+// contract. Runs are matched to results by request id, because the ledger does
+// not know the caller; runs without a result are left out.
+func (b *Bed) AuditShift(results []loadgen.Result, runs []backendstandin.Run, restarts []Restart) []string {
+	byRequest := make(map[string]loadgen.Result, len(results))
+	for _, r := range results {
+		byRequest[r.RequestID] = r
+	}
+	records := map[string][]audit.Record{}
+	for _, run := range runs {
+		r, ok := byRequest[run.RequestID]
+		if !ok || run.RequestID == "" {
+			continue
+		}
+		svc, ok := b.layout.contract.FindService(r.Service)
+		if !ok {
+			continue
+		}
+		records[svc.Name] = append(records[svc.Name], audit.Record{
+			Time:        run.Start,
+			Home:        b.homeRegion(r.Client),
+			Region:      b.serverRegion(run.Server),
+			Incarnation: incarnation(r, restarts),
+		})
+	}
+	return b.checkShift(records)
+}
+
+func (b *Bed) checkShift(records map[string][]audit.Record) []string {
+	var problems []string
+	for _, svc := range b.layout.contract.Services {
+		limit, window := svc.ShiftCap.PerWindow(), svc.ShiftCap.Window.Std()
+		report := audit.Check(records[svc.Name], limit, window)
+		if len(report.Violations) > 0 {
+			problems = append(problems, fmt.Sprintf("service %s: %d windows over the shift cap of %.0f, first: %s",
+				svc.Name, len(report.Violations), limit, report.Violations[0]))
+		}
+	}
+	return problems
+}
+
+// incarnation names the run of the entry instance that chose the region.
+func incarnation(r loadgen.Result, restarts []Restart) string {
+	n := 0
+	for _, s := range restarts {
+		if s.Entry == r.Entry && !r.SentAt.Before(s.At) {
+			n++
+		}
+	}
+	return fmt.Sprintf("%s#%d", r.Entry, n)
+}
+
+func (b *Bed) homeRegion(client string) string {
+	addr, err := netip.ParseAddr(client)
+	if err != nil {
+		return ""
+	}
+	dep := &b.layout.deployment
+	for _, block := range dep.ClientBlocks {
+		if prefix, err := netip.ParsePrefix(block.Prefix); err == nil && prefix.Contains(addr) {
+			return dep.RegionOf(block.FailureDomain)
+		}
+	}
+	return ""
+}
+
+func (b *Bed) serverRegion(id string) string {
+	s := b.layout.deployment.FindBackendServer(id)
+	if s == nil {
+		return ""
+	}
+	return b.layout.deployment.RegionOf(s.FailureDomain)
+}
+
+// ServiceOf returns the contract's service for a name, old names included.
+func (b *Bed) ServiceOf(name string) (*config.Service, bool) {
+	return b.layout.contract.FindService(name)
+}
