--- a/test/scenarios/call_test.go
+++ b/test/scenarios/call_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -240,3 +241,24 @@
 	}
 	return out, nil
 }
+
+// cmdRetried makes a call and requires an answer. Under "eventually" it sends
+// the same request until it is answered, with a name of its own each time:
+// retried NAME ARGUMENTS OF CALL
+func cmdRetried(s *scenario, ts *testscript.TestScript, a *arguments) error {
+	if len(a.words) == 0 {
+		return errors.New("name is missing")
+	}
+	s.mu.Lock()
+	a.words[0] += fmt.Sprintf("-%d", len(s.jobs))
+	s.mu.Unlock()
+	name := a.words[0]
+	if err := cmdCall(s, ts, a); err != nil {
+		return err
+	}
+	j, err := s.finished(name)
+	if err != nil {
+		return err
+	}
+	return expectEach(j.results, parseArguments([]string{"outcome=answered|recorded"}))
+}
--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -93,6 +93,11 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return err
 	}
+	deploy, err := filepath.Abs(filepath.Join(repository, "deploy"))
+	if err != nil {
+		return err
+	}
+	env.Setenv("DEPLOY", deploy)
 	ctx, cancel := context.WithCancel(context.Background())
 	s := newScenario(ctx, dir)
 	env.Values[scenarioKey{}] = s
--- a/test/scenarios/state_test.go
+++ b/test/scenarios/state_test.go
@@ -95,6 +95,7 @@
 		"platform":   cmdPlatform,
 		"race":       cmdRace,
 		"ready":      cmdReady,
+		"retried":    cmdRetried,
 		"runs":       cmdRuns,
 		"watch":      cmdWatch,
 	}
