--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -114,11 +114,16 @@
 		Self:    self,
 		Table:   e.platform,
 		Entries: e.configuredEntries,
+		Live:    e.incarnationLive,
 		Logger:  e.log,
 	})
 	if err := e.buildPeers(); err != nil {
 		return nil, err
 	}
+	e.metrics.publish("claims", func() any { return e.claims.Stats() })
+	e.metrics.publish("archive", func() any { return e.archiver.Stats() })
+	e.metrics.publish("peer_sessions", func() any { return e.peerServer.Stats() })
+	e.metrics.publish("buffered_bytes", func() any { return e.buffers.used.Load() })
 	return e, e.buildListeners()
 }
 
@@ -144,6 +149,7 @@
 		Routes:         e.callerRoutes(),
 		Fallback:       e.handleCall,
 		MaxConnections: e.settings.MaxCallerConnections,
+		Closing:        e.leaving.Load,
 	})
 	if err != nil {
 		return err
@@ -168,11 +174,12 @@
 		return err
 	}
 	e.gate = newGate(admission.New(admission.Config{
-		// Seats that borrow from this one stop at the latest when their
-		// evidence lapses, twice lentFor after the last refused connection.
-		Start:         time.Now().Add(lentFor),
+		// A seat that borrows from this one may have made its last check up to
+		// RefusalFresh after the last refused connection, and this process has
+		// accepted connections since just now.
+		Start:         time.Now().Add(membership.DefaultRefusalFresh),
 		NoPredecessor: e.settings.NoPredecessor,
-	}))
+	}), e.afterPause)
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	e.poller = backend.NewPoller(background, backend.PollerConfig{}, e.handleReport)
@@ -282,6 +289,17 @@
 	return 0
 }
 
+// incarnationLive reports whether an incarnation is known to be running.
+func (e *Entry) incarnationLive(i claim.Incarnation) bool {
+	if i == e.self {
+		return true
+	}
+	e.membersMu.Lock()
+	defer e.membersMu.Unlock()
+	st := e.members.Peer(i.Entry)
+	return st.Incarnation == i.Number && st.State != membership.StateGone
+}
+
 func (e *Entry) configuredEntries() int {
 	if v := e.currentView(); v != nil {
 		return len(v.doc.Deployment.EntryInstances)
--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -30,7 +30,7 @@
 	entry   config.EntryInstance
 	attempt uint32
 	owner   bool
-	noQueue bool
+	maxWait time.Duration // for a slot; 0 refuses at once
 	exclude []string
 }
 
@@ -74,12 +74,12 @@
 		ConfigVersion:  req.view.doc.Version,
 		TimeoutMs:      left.Milliseconds(),
 		Method:         req.method,
-		Path:           req.path,
+		Path:           []byte(req.path),
 		Headers:        headersToWire(req.header),
 		Body:           req.body,
 		IdempotencyKey: req.key.Raw,
 		Owner:          o.owner,
-		NoQueue:        o.noQueue,
+		MaxQueueMs:     o.maxWait.Milliseconds(),
 		AtMostOnce:     !req.service.Idempotent,
 		ExcludeServers: o.exclude,
 	}
@@ -116,13 +116,19 @@
 		body:    f.GetBody(),
 		server:  f.GetBackendServer(),
 		entry:   f.GetEntry(),
+
+		appliesTo: AppliesTo(f.GetAppliesTo()),
 	}
 }
 
 func headersToWire(h http.Header) []*wire.Header {
 	out := make([]*wire.Header, 0, len(h))
 	for name, values := range h {
-		out = append(out, &wire.Header{Name: name, Values: values})
+		raw := make([][]byte, len(values))
+		for i, v := range values {
+			raw[i] = []byte(v)
+		}
+		out = append(out, &wire.Header{Name: name, Values: raw})
 	}
 	return out
 }
@@ -130,7 +136,10 @@
 func headersFromWire(hs []*wire.Header) http.Header {
 	out := make(http.Header, len(hs))
 	for _, h := range hs {
-		out[http.CanonicalHeaderKey(h.GetName())] = h.GetValues()
+		name := http.CanonicalHeaderKey(h.GetName())
+		for _, v := range h.GetValues() {
+			out[name] = append(out[name], string(v))
+		}
 	}
 	return out
 }
@@ -151,11 +160,16 @@
 		Body:          rep.body,
 		BackendServer: rep.server,
 		Entry:         e.settings.ID,
+		AppliesTo:     string(rep.appliesTo),
 	}}}
 }
 
 func (e *Entry) serveForward(ctx context.Context, f *wire.Forward) reply {
 	req, bad := e.forwardedRequest(f)
+	if bad != nil && f.GetOwner() {
+		// A process that has just replaced the owner cannot speak for the key.
+		return unknownOutcome(ReasonOwnerUnreachable, "%s", bad.message)
+	}
 	if bad != nil {
 		return *bad
 	}
@@ -171,7 +185,7 @@
 	}
 	return e.admitAndCall(ctx, req, admitOptions{
 		attempt: f.GetAttempt(),
-		noQueue: f.GetNoQueue(),
+		maxWait: time.Duration(f.GetMaxQueueMs()) * time.Millisecond,
 		exclude: f.GetExcludeServers(),
 	})
 }
@@ -206,7 +220,7 @@
 		service:    svc,
 		homeRegion: f.GetHomeRegion(),
 		method:     f.GetMethod(),
-		path:       f.GetPath(),
+		path:       string(f.GetPath()),
 		header:     headersFromWire(f.GetHeaders()),
 		body:       f.GetBody(),
 		deadline:   now.Add(time.Duration(f.GetTimeoutMs()) * time.Millisecond),
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -34,8 +34,7 @@
 	case rep := <-race.results:
 		return rep
 	case <-ctx.Done():
-		race.cancel()
-		return s.abandoned()
+		return race.abandon(1)
 	case <-timer.C:
 	}
 	runners := 1
@@ -63,7 +62,7 @@
 	default:
 		h.excludeEntries = append(h.excludeEntries, at.entry)
 	}
-	if len(h.plan()) == 0 || !s.e.allowRetry(s.req) {
+	if near, far, _ := h.plan(); len(near)+len(far) == 0 || !s.e.allowRetry(s.req) {
 		return nil
 	}
 	s.attempt++
@@ -74,23 +73,42 @@
 // firstAnswer returns the first answer, or the last failure.
 func (s *steering) firstAnswer(ctx context.Context, race *race, runners int) reply {
 	var last reply
-	for range runners {
+	for pending := runners; pending > 0; pending-- {
 		select {
 		case rep := <-race.results:
 			if rep.answered() {
 				return rep
 			}
-			last = rep
+			last = worse(last, rep)
 		case <-ctx.Done():
-			race.cancel()
-			return s.abandoned()
+			return worse(last, race.abandon(pending))
 		}
 	}
 	return last
 }
 
-func (s *steering) abandoned() reply {
-	return unknownOutcome(ReasonConnectionLost, "no answer before the deadline")
+// abandonGrace is how long the last result is waited for after the deadline.
+// Attempts end at the same deadline, and their result is more precise.
+const abandonGrace = 20 * time.Millisecond
+
+// abandon cancels the attempts when the caller's time is over. The request is
+// not run only if every pending attempt says so.
+func (r *race) abandon(pending int) reply {
+	r.cancel()
+	timeout := time.After(abandonGrace)
+	var last reply
+	for range pending {
+		select {
+		case rep := <-r.results:
+			if rep.answered() {
+				return rep
+			}
+			last = worse(last, rep)
+		case <-timeout:
+			return unknownOutcome(ReasonConnectionLost, "no answer before the deadline")
+		}
+	}
+	return last
 }
 
 // race runs attempts that may outlive the caller's request, up to its deadline.
--- a/pkg/shift/shift.go
+++ b/pkg/shift/shift.go
@@ -8,7 +8,7 @@
 // since the Unix epoch. Window j is made of the sub-windows j to j+9; the
 // previous window is j-10 to j-1. Each window that starts at a sub-window is
 // compared with its previous one, so consecutive windows overlap by nine
-// tenths. A request counts in the sub-window in which Reserve was called. It
+// tenths. Seats agree on the start of windows as far as their clocks agree. A request counts in the sub-window in which Reserve was called. It
 // counts as remote if its region is not its home region.
 //
 // # Bound
@@ -39,11 +39,15 @@
 // # Fractions
 //
 // Counts are integers, so a seat with allowance c may use floor(c) in each
-// window. What is left, E = floor(n*(c - floor(c))), is given as one request
-// each to E seats in turn. Turns are assigned to the starts of windows in
-// epochs of 20 sub-windows, so in every window exactly E seats have a turn and
-// the sum over seats never exceeds C. A seat without Config.Seats gets no turn.
-// With C below 1 no request may shift at all.
+// window. If c is below 1, E = floor(n*c) seats have one request each, in turn.
+// Turns are assigned to the starts of windows in epochs of 20 sub-windows, so
+// in every window exactly E seats have a turn and the sum over seats never
+// exceeds C. A seat without Config.Seats gets no turn. With C below 1 no
+// request may shift at all.
+//
+// A seat with c of 1 or more gets no turn: an increase of floor(c)+1 in one
+// window could not return in a later one without a turn, and until then every
+// request of that home was refused (seen in the demo).
 //
 // # Start and changes
 //
@@ -112,6 +116,8 @@
 }
 
 // SetSeat changes the place of this seat when the list of seats has changed.
+// Until every seat has seen the change, turns for fractions may overlap by one
+// request per seat.
 func (l *Limiter) SetSeat(seat, seats int) { l.cfg.Seat, l.cfg.Seats = seat, seats }
 
 // SetCap sets the allowance of this seat per window: the cap of the contract
@@ -184,7 +190,8 @@
 // Commit confirms that the request was accepted in the region.
 func (r *Reservation) Commit() { r.end(true) }
 
-// Cancel takes the request out of the count, because the region did not run it.
+// Cancel takes the request out of the count, because the region certainly did
+// not run it. A request whose outcome is unknown is committed.
 func (r *Reservation) Cancel() { r.end(false) }
 
 func (r *Reservation) end(committed bool) {
