--- a/pkg/entry/outcome.go
+++ b/pkg/entry/outcome.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/dandelionrack/dandelionrack/pkg/claim"
 	"github.com/dandelionrack/dandelionrack/pkg/wire"
 )
 
@@ -35,6 +36,10 @@
 	ReasonConnectionLost   Reason = "connection_lost"
 	ReasonOwnerUnreachable Reason = "owner_unreachable"
 	ReasonInProgress       Reason = "in_progress"
+
+	// ReasonRecordedWithoutBody marks a request that ran and whose answer was
+	// too large to be kept with its claim.
+	ReasonRecordedWithoutBody Reason = claim.ReasonRecordedWithoutBody
 )
 
 // statusOf maps a reason of a "not run" refusal to an HTTP status. Reasons
@@ -94,6 +99,11 @@
 	return r.outcome == wire.Outcome_OUTCOME_ANSWERED || r.outcome == wire.Outcome_OUTCOME_RECORDED
 }
 
+// whole reports whether the reply holds the whole answer of a backend server.
+func (r reply) whole() bool {
+	return r.answered() && r.reason == ""
+}
+
 func (r reply) isNotRun() bool {
 	return r.outcome == wire.Outcome_OUTCOME_NOT_RUN
 }
@@ -122,6 +132,8 @@
 	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
 	// AppliesTo is set for services that run at most once.
 	AppliesTo AppliesTo `json:"applies_to,omitempty"`
+	// RecordedStatus is the status of the answer that was not kept.
+	RecordedStatus int `json:"recorded_status,omitempty"`
 	// NextKey is an entry-issued key that the caller may use in place of its
 	// own key, if every attempt with its own key ended as not run.
 	NextKey string `json:"next_key,omitempty"`
@@ -140,6 +152,10 @@
 		NextKey:   r.nextKey,
 		AppliesTo: r.appliesTo,
 	}
+	if r.answered() {
+		body.RecordedStatus = r.status
+		return http.StatusBadGateway, body
+	}
 	if !r.isNotRun() {
 		return http.StatusGatewayTimeout, body
 	}
--- a/pkg/entry/steer.go
+++ b/pkg/entry/steer.go
@@ -48,13 +48,13 @@
 func (e *Entry) steer(ctx context.Context, req *request) reply {
 	e.countRequest(req)
 	s := &steering{e: e, req: req}
-	var mayHaveRun reply // an earlier attempt whose outcome is unknown
+	mayHaveRun := false
 	for {
-		rep := worse(mayHaveRun, s.tryHedged(ctx))
+		rep := s.tryHedged(ctx)
+		mayHaveRun = mayHaveRun || rep.outcome == wire.Outcome_OUTCOME_UNKNOWN
 		if !s.mayRetry(ctx, rep) {
-			return rep
+			return forCaller(rep, mayHaveRun)
 		}
-		mayHaveRun = worse(mayHaveRun, rep)
 		s.exclude(rep)
 		e.metrics.retries.Add(1)
 	}
@@ -69,6 +69,19 @@
 	return later
 }
 
+// forCaller makes a reply speak for the request and not only for its last
+// attempt: "not run" must hold for every attempt.
+func forCaller(rep reply, mayHaveRun bool) reply {
+	if rep.reason == reasonPeerUnreachable {
+		rep = notRun(ReasonOverload, "no entry instance with a slot could be reached")
+	}
+	if rep.isNotRun() && mayHaveRun {
+		return unknownOutcome(ReasonConnectionLost,
+			"an earlier attempt may have run; the last one was refused: %s: %s", rep.reason, rep.message)
+	}
+	return rep
+}
+
 // exclude keeps later attempts away from what has just failed.
 func (s *steering) exclude(rep reply) {
 	if rep.server != "" {
@@ -103,7 +116,6 @@
 // within the time that another region would cost does it ask there: a request
 // that is sent away uses up the shift cap and, later, has to return.
 func (s *steering) try(ctx context.Context) reply {
-	s.attempt++
 	near, far, reason := s.plan()
 	rep := s.tryEach(ctx, near, reason)
 	if !wantsOther(rep) {
@@ -123,7 +135,6 @@
 // tryFree asks the planned places for a free slot, best first, and never
 // waits.
 func (s *steering) tryFree(ctx context.Context) reply {
-	s.attempt++
 	near, far, reason := s.plan()
 	return s.tryEach(ctx, append(near, far...), reason)
 }
@@ -174,11 +185,7 @@
 	if !ok {
 		return refused
 	}
-	rep := s.tryPlace(ctx, place, maxWait)
-	if rep.isNotRun() && rep.reason == reasonPeerUnreachable {
-		return notRun(ReasonOverload, "no entry instance with a slot could be reached")
-	}
-	return rep
+	return s.tryPlace(ctx, place, maxWait)
 }
 
 // waitingPlace is the first place of the routing order that has servers of the
@@ -212,14 +219,20 @@
 // plan returns the places with free slots, best first, those of the home
 // region apart, and the reason to give when there is none.
 func (s *steering) plan() (near, far []routing.Candidate, reason Reason) {
-	candidates, excluded := routing.Plan(s.input())
+	in := s.input()
+	freeAt := map[string]int{in.Self.Entry: in.LocalFree}
+	for _, p := range in.Peers {
+		freeAt[p.Entry] = p.Free
+	}
+	candidates, excluded := routing.Plan(in)
 	reason = ReasonNoBackendServer
 	if len(s.req.view.byService[s.req.service.Name]) > 0 {
 		reason = ReasonOverload
 	}
 	for _, x := range excluded {
 		s.e.metrics.routeExclusions.Add(x.Reason, 1)
-		if x.Reason == routing.ReasonNotPermitted || x.Reason == routing.ReasonOnly {
+		capped := x.Reason == routing.ReasonNotPermitted || x.Reason == routing.ReasonOnly
+		if capped && freeAt[x.Entry] > 0 {
 			reason = ReasonShiftCap
 		}
 	}
