--- a/pkg/entry/callers.go
+++ b/pkg/entry/callers.go
@@ -214,6 +214,7 @@
 	}
 	now := time.Now()
 	timeout, bad := requestTimeout(r, svc)
+	timeout -= answerMargin(timeout)
 	if bad != nil {
 		return nil, bad
 	}
@@ -309,6 +310,14 @@
 	return time.Duration(ms) * time.Millisecond, nil
 }
 
+// answerMargin is the part of the caller's time that is left for the answer's
+// way back. A refusal that is sent at the caller's own deadline arrives too
+// late, and the caller would not learn that the request was not run.
+func answerMargin(timeout time.Duration) time.Duration {
+	const share, longest = 20, 50 * time.Millisecond
+	return min(timeout/share, longest)
+}
+
 // requestKey checks the idempotency key of a service that is not idempotent.
 func requestKey(r *http.Request, svc *config.Service, now time.Time) (claim.Key, *reply) {
 	if svc.Idempotent {
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/dandelionrack/dandelionrack/pkg/wire"
 )
 
 // place is where an attempt is now.
@@ -23,8 +21,9 @@
 // backend server answers, but would stay held until the deadline after a
 // cancellation.
 func (s *steering) tryHedged(ctx context.Context) reply {
+	s.attempt++
 	after := s.req.service.HedgeAfter.Std()
-	if after <= 0 || !s.req.service.Idempotent || s.attempt > 0 {
+	if after <= 0 || !s.req.service.Idempotent || s.attempt > 1 {
 		return s.try(ctx)
 	}
 	race := s.e.newRace(ctx, s.req.deadline)
@@ -36,8 +35,7 @@
 	case rep := <-race.results:
 		return rep
 	case <-ctx.Done():
-		race.cancel()
-		return s.abandoned()
+		return race.abandon(1)
 	case <-timer.C:
 	}
 	runners := 1
@@ -45,7 +43,11 @@
 		runners++
 		race.start(hedge.tryFree)
 	}
-	return s.firstAnswer(ctx, race, runners)
+	rep := s.firstAnswer(ctx, race, runners)
+	if !rep.answered() {
+		s.attempt += uint32(runners) - 1
+	}
+	return rep
 }
 
 // hedge prepares a second attempt somewhere else, or returns nil.
@@ -54,7 +56,7 @@
 	if at == nil {
 		return nil
 	}
-	h := &steering{e: s.e, req: s.req, attempt: s.attempt}
+	h := &steering{e: s.e, req: s.req, attempt: s.attempt + 1}
 	h.excludeServers = slices.Clone(s.excludeServers)
 	h.excludeEntries = slices.Clone(s.excludeEntries)
 	switch {
@@ -65,10 +67,9 @@
 	default:
 		h.excludeEntries = append(h.excludeEntries, at.entry)
 	}
-	if places, _ := h.plan(); len(places) == 0 || !s.e.allowRetry(s.req) {
+	if near, far, _ := h.plan(); len(near)+len(far) == 0 || !s.e.allowRetry(s.req) {
 		return nil
 	}
-	s.attempt++
 	s.e.metrics.hedges.Add(1)
 	return h
 }
@@ -77,25 +78,42 @@
 // run counts more than one that was refused.
 func (s *steering) firstAnswer(ctx context.Context, race *race, runners int) reply {
 	var last reply
-	for range runners {
+	for pending := runners; pending > 0; pending-- {
 		select {
 		case rep := <-race.results:
 			if rep.answered() {
 				return rep
 			}
-			if last.outcome != wire.Outcome_OUTCOME_UNKNOWN {
-				last = rep
-			}
+			last = worse(last, rep)
 		case <-ctx.Done():
-			race.cancel()
-			return s.abandoned()
+			return worse(last, race.abandon(pending))
 		}
 	}
 	return last
 }
 
-func (s *steering) abandoned() reply {
-	return unknownOutcome(ReasonConnectionLost, "no answer before the deadline")
+// abandonGrace is how long the last result is waited for after the deadline.
+// Attempts end at the same deadline, and their result is more precise.
+const abandonGrace = 20 * time.Millisecond
+
+// abandon cancels the attempts when the caller's time is over. The request is
+// not run only if every pending attempt says so.
+func (r *race) abandon(pending int) reply {
+	r.cancel()
+	timeout := time.After(abandonGrace)
+	var last reply
+	for range pending {
+		select {
+		case rep := <-r.results:
+			if rep.answered() {
+				return rep
+			}
+			last = worse(last, rep)
+		case <-timeout:
+			return unknownOutcome(ReasonConnectionLost, "no answer before the deadline")
+		}
+	}
+	return last
 }
 
 // race runs attempts that may outlive the caller's request, up to its deadline.
--- a/pkg/entry/outcome.go
+++ b/pkg/entry/outcome.go
@@ -56,6 +56,19 @@
 	ReasonBadRequest:     http.StatusBadRequest,
 }
 
+// AppliesTo says how far a "not run" refusal reaches.
+type AppliesTo string
+
+// Reaches of a refusal.
+const (
+	// AppliesToKey: no attempt with this key has run.
+	AppliesToKey AppliesTo = "key"
+	// AppliesToAttempt: this attempt did not run; nothing is said about
+	// earlier attempts with the same key, because their record could not be
+	// read.
+	AppliesToAttempt AppliesTo = "attempt"
+)
+
 // reply is the end of a request: an answer of a backend server or a typed
 // refusal.
 type reply struct {
@@ -67,6 +80,8 @@
 	header http.Header
 	body   []byte
 
+	appliesTo AppliesTo
+
 	server  string // backend server that answered
 	entry   string // entry instance that called it
 	nextKey string // entry-issued key offered in place of a caller-made one
@@ -115,6 +130,8 @@
 	Message      string `json:"message"`
 	RequestID    string `json:"request_id"`
 	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+	// AppliesTo is set for services that run at most once.
+	AppliesTo AppliesTo `json:"applies_to,omitempty"`
 	// RecordedStatus is the status of the answer that was not kept.
 	RecordedStatus int `json:"recorded_status,omitempty"`
 	// NextKey is an entry-issued key that the caller may use in place of its
@@ -133,6 +150,7 @@
 		Message:   r.message,
 		RequestID: requestID,
 		NextKey:   r.nextKey,
+		AppliesTo: r.appliesTo,
 	}
 	if r.answered() {
 		body.RecordedStatus = r.status
