--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -120,10 +120,7 @@
 	if err := e.buildPeers(); err != nil {
 		return nil, err
 	}
-	e.metrics.publish("claims", func() any { return e.claims.Stats() })
-	e.metrics.publish("archive", func() any { return e.archiver.Stats() })
-	e.metrics.publish("peer_sessions", func() any { return e.peerServer.Stats() })
-	e.metrics.publish("buffered_bytes", func() any { return e.buffers.used.Load() })
+	e.publishState()
 	return e, e.buildListeners()
 }
 
--- a/pkg/entry/headers_test.go
+++ b/pkg/entry/headers_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/dandelionrack/dandelionrack/pkg/admission"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 )
 
@@ -122,17 +123,19 @@
 	defer func() { _ = resp.Body.Close() }()
 	var got struct {
 		Counters struct {
-			Requests int            `json:"requests"`
-			Refusals map[Reason]int `json:"refusals"`
+			Requests int                      `json:"requests"`
+			Refusals map[Reason]int           `json:"refusals"`
+			Servers  []admission.ServerStatus `json:"servers"`
+			Queues   map[string]int           `json:"queues"`
+			Links    map[string]float64       `json:"link_bytes_available"`
 		} `json:"dandelionrack"`
-		State vars `json:"state"`
 	}
 	require.NoError(t, json.NewDecoder(resp.Body).Decode(&got))
 	require.Positive(t, got.Counters.Requests)
 	require.Equal(t, 1, got.Counters.Refusals[ReasonUnknownService])
-	require.Len(t, got.State.Servers, 4, "servers of the own failure domain")
-	require.Contains(t, got.State.Queues, "salio")
-	require.Contains(t, got.State.Links, "r2")
+	require.Len(t, got.Counters.Servers, 4, "servers of the own failure domain")
+	require.Contains(t, got.Counters.Queues, "salio")
+	require.Contains(t, got.Counters.Links, "r2")
 	closed, err := http.Get(base + "/v1/status")
 	require.NoError(t, err)
 	require.NoError(t, closed.Body.Close())
--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -16,10 +16,8 @@
 	"github.com/dandelionrack/dandelionrack/pkg/admission"
 	"github.com/dandelionrack/dandelionrack/pkg/budget"
 	"github.com/dandelionrack/dandelionrack/pkg/burn"
-	"github.com/dandelionrack/dandelionrack/pkg/claim"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/operator"
-	"github.com/dandelionrack/dandelionrack/pkg/peer"
 	"github.com/dandelionrack/dandelionrack/pkg/platform"
 	"github.com/dandelionrack/dandelionrack/pkg/trace"
 	"github.com/dandelionrack/dandelionrack/pkg/wire"
@@ -40,50 +38,56 @@
 // and are open, as monitoring expects.
 func (e *Entry) handleVars(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
-	state, _ := json.Marshal(e.vars())
-	_, _ = fmt.Fprintf(w, "{\n\"dandelionrack\": %s,\n\"state\": %s", e.metrics.root.String(), state)
+	_, _ = fmt.Fprintf(w, "{\n\"dandelionrack\": %s", e.metrics.root.String())
 	expvar.Do(func(kv expvar.KeyValue) {
 		_, _ = fmt.Fprintf(w, ",\n%q: %s", kv.Key, kv.Value)
 	})
 	_, _ = fmt.Fprint(w, "\n}\n")
 }
 
-// vars is the state that is read when it is asked for, not counted.
-type vars struct {
-	Servers []admission.ServerStatus `json:"servers"`
-	// Queues holds the queued requests by service.
-	Queues map[string]int `json:"queues"`
-	// Links holds the bytes that may be sent now, by region.
-	Links  map[string]float64  `json:"link_bytes_available"`
-	Claims claim.Stats         `json:"claims"`
-	Trace  trace.ArchiverStats `json:"trace_archive"`
-	Peers  peer.Stats          `json:"peer_server"`
+// publishState adds what is computed when the counters are read.
+func (e *Entry) publishState() {
+	for name, value := range map[string]func() any{
+		"claims":               func() any { return e.claims.Stats() },
+		"archive":              func() any { return e.archiver.Stats() },
+		"peer_sessions":        func() any { return e.peerServer.Stats() },
+		"buffered_bytes":       func() any { return e.buffers.used.Load() },
+		"servers":              func() any { return e.serverStatus() },
+		"queues":               func() any { return e.queueLengths() },
+		"link_bytes_available": func() any { return e.linkBytes() },
+	} {
+		e.metrics.publish(name, value)
+	}
 }
 
-func (e *Entry) vars() vars {
-	out := vars{
-		Servers: e.serverStatus(),
-		Queues:  map[string]int{},
-		Links:   map[string]float64{},
-		Claims:  e.claims.Stats(),
-		Trace:   e.archiver.Stats(),
-		Peers:   e.peerServer.Stats(),
-	}
+// queueLengths counts the queued requests by service.
+func (e *Entry) queueLengths() map[string]int {
+	out := map[string]int{}
 	v := e.currentView()
 	if v == nil {
 		return out
 	}
 	e.gate.read(func(ctl *admission.Controller, _ time.Time) {
 		for service := range v.byService {
-			out.Queues[service] = ctl.QueueLength(service)
+			out[service] = ctl.QueueLength(service)
 		}
 	})
+	return out
+}
+
+// linkBytes returns the bytes that may be sent to each other region now.
+func (e *Entry) linkBytes() map[string]float64 {
+	out := map[string]float64{}
+	v := e.currentView()
+	if v == nil {
+		return out
+	}
 	e.limits.mu.Lock()
 	defer e.limits.mu.Unlock()
 	for _, region := range v.doc.Deployment.Regions {
 		if region.Name != v.region {
 			pair := budget.LinkPair{From: v.region, To: region.Name}
-			out.Links[region.Name] = e.limits.links.Available(time.Now(), pair)
+			out[region.Name] = e.limits.links.Available(time.Now(), pair)
 		}
 	}
 	return out
