--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -289,6 +289,11 @@
 	return 0
 }
 
+// liveFor is how long after its last heartbeat an incarnation may still settle
+// its claims by itself. Later they are listed as unresolved; a process behind a
+// cut link is not provably gone.
+const liveFor = 2 * time.Second
+
 // incarnationLive reports whether an incarnation is known to be running.
 func (e *Entry) incarnationLive(i claim.Incarnation) bool {
 	if i == e.self {
@@ -297,7 +302,7 @@
 	e.membersMu.Lock()
 	defer e.membersMu.Unlock()
 	st := e.members.Peer(i.Entry)
-	return st.Incarnation == i.Number && st.State != membership.StateGone
+	return st.Incarnation == i.Number && time.Since(st.LastHeard) < liveFor
 }
 
 func (e *Entry) configuredEntries() int {
