entry: take a backend server out of use while it refuses connections

Cause: the slots of a dead backend server counted as free. Requests went there first, the dial failed, and the next attempt came out of the retry budget (10 %). Beyond it, callers were refused with 'overload' while other servers had free slots.

Ruled out: raising the retry budget, which bounds the load that retries add; using missing health reports as the sign, because reports may mislead. A refused connection proves that nothing runs. The first failed dial takes the server out, a poll that connects brings it back by slow start.

--- a/pkg/backend/do.go
+++ b/pkg/backend/do.go
@@ -74,7 +74,7 @@
 func sendFailure(err error) error {
 	var failed *sendonce.Error
 	if errors.As(err, &failed) && !failed.Sent {
-		return &NotRunError{Reason: "request was not sent", Err: failed.Err}
+		return &NotRunError{Reason: "request was not sent", Unreachable: isUnreachable(failed.Err), Err: failed.Err}
 	}
 	return &UnknownError{Reason: "no answer", Err: err}
 }
--- a/pkg/backend/errors.go
+++ b/pkg/backend/errors.go
@@ -1,12 +1,22 @@
 package backend
 
+import (
+	"net"
+	"syscall"
+
+	"github.com/go-faster/errors"
+)
+
 // NotRunError means that the backend server certainly did not run the
 // request: no byte of it was sent, or the server itself said so.
 type NotRunError struct {
 	Reason string
 	// Shed is true when the backend server answered 503 with Not-Run: true.
 	Shed bool
-	Err  error // cause, if any
+	// Unreachable is true when no connection to the backend server could be
+	// made.
+	Unreachable bool
+	Err         error // cause, if any
 }
 
 func (e *NotRunError) Error() string {
@@ -36,3 +46,14 @@
 	}
 	return reason + ": " + err.Error()
 }
+
+// isUnreachable reports whether an error says that the address takes no
+// connections. A shortage on this side, such as of ports, does not.
+func isUnreachable(err error) bool {
+	var op *net.OpError
+	if !errors.As(err, &op) || op.Op != "dial" {
+		return false
+	}
+	return op.Timeout() || errors.Is(err, syscall.ECONNREFUSED) ||
+		errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH)
+}
--- a/pkg/backend/poller.go
+++ b/pkg/backend/poller.go
@@ -44,6 +44,9 @@
 	Slots    int
 	At       time.Time // when the poll began
 	Err      error     // joined errors of the health and load requests
+	// Unreachable is true when neither endpoint could be connected to. It
+	// says more than a missing report: the server cannot take requests.
+	Unreachable bool
 }
 
 // Target is a backend server to poll.
@@ -171,6 +174,7 @@
 		r.InFlight, r.Slots = *load.InFlight, *load.Slots
 	}
 	r.Err = errors.Join(healthErr, loadErr)
+	r.Unreachable = isUnreachable(healthErr) && isUnreachable(loadErr)
 	return r
 }
 
--- a/pkg/backend/poller_test.go
+++ b/pkg/backend/poller_test.go
@@ -15,7 +15,8 @@
 func asError[T error](err error, target *T) bool { return errors.As(err, target) }
 
 // Guards against a load report that hangs, lies or is missing and hides that
-// the server drains.
+// the server drains, and against a server that is gone and is taken for one
+// without reports.
 func TestPollerReports(t *testing.T) {
 	f := startFleet(t, standin.ServerSettings{Slots: 3})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -37,6 +38,13 @@
 	setMode(t, f, func(m *standin.Mode) { m.Load, m.Health = standin.LoadIdle, standin.HealthMissing })
 	next(func(r backend.Report) bool { return r.State == backend.StateUnknown && r.InFlight == 0 })
 
+	// A missing report is no sign of death; a refused connection is.
+	next(func(r backend.Report) bool { return r.State == backend.StateUnknown && !r.Unreachable })
+	setMode(t, f, func(m *standin.Mode) { m.Down = true })
+	next(func(r backend.Report) bool { return r.State == backend.StateUnknown && r.Unreachable })
+	setMode(t, f, func(m *standin.Mode) { m.Down, m.Health = false, standin.HealthHonest })
+	next(func(r backend.Report) bool { return r.State == backend.StateDraining && !r.Unreachable })
+
 	p.SetTargets(nil)
 	p.Wait() // would hang if a removed server were still polled
 	cancel()
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -60,6 +60,7 @@
 	leavingMu       sync.Mutex
 	leavingPlatform map[string]bool
 	leavingHealth   map[string]bool
+	unreachable     map[string]bool
 
 	confirmMu      sync.Mutex
 	confirmed      map[string]bool
@@ -103,6 +104,7 @@
 		members:         membership.New(membership.Config{Self: settings.ID}),
 		leavingPlatform: map[string]bool{},
 		leavingHealth:   map[string]bool{},
+		unreachable:     map[string]bool{},
 		confirmed:       map[string]bool{},
 		burn:            burn.New(burn.Config{}),
 		spans:           trace.NewRing(trace.RingConfig{}),
--- a/pkg/entry/local.go
+++ b/pkg/entry/local.go
@@ -108,6 +108,9 @@
 	var rep reply
 	if refused := (*backend.NotRunError)(nil); errors.As(err, &refused) {
 		e.metrics.backendNotRun.Add(1)
+		if refused.Unreachable {
+			e.noteReachable(server, false)
+		}
 		rep = notRun(ReasonOverload, "backend server %s did not run the request: %v", server, err)
 	} else {
 		e.metrics.backendUnknown.Add(1)
--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -136,7 +137,7 @@
 		return
 	}
 	out.InFlight[entry] = st.InFlight + st.Held
-	out.Draining = out.Draining || st.Leaving
+	out.Draining = out.Draining || isLeaving(st)
 	if out.Since.IsZero() || (!st.LeavingSince.IsZero() && st.LeavingSince.Before(out.Since)) {
 		out.Since = st.LeavingSince
 	}
@@ -145,6 +146,12 @@
 	}
 }
 
+// isLeaving reports whether a server leaves for another reason than being
+// unreachable.
+func isLeaving(st admission.ServerStatus) bool {
+	return slices.ContainsFunc(st.Reasons, func(r string) bool { return r != takesNoConnections })
+}
+
 func (e *Entry) statusOf(server string) (admission.ServerStatus, bool) {
 	for _, st := range e.serverStatus() {
 		if st.ID == server {
@@ -300,8 +307,10 @@
 func serverRoute(v *view, st admission.ServerStatus) operator.ServerRoute {
 	s := v.servers[st.ID]
 	state := "in use"
-	if st.Leaving {
+	if isLeaving(st) {
 		state = "leaving"
+	} else if st.Leaving {
+		state = takesNoConnections
 	} else if st.Usable < st.Share {
 		state = "starting"
 	}
--- a/pkg/entry/servers.go
+++ b/pkg/entry/servers.go
@@ -15,6 +15,8 @@
 	leavingByPlatform = "platform"
 	leavingByHealth   = "health"
 	leavingByPeer     = "peer"
+	// takesNoConnections marks a server that is not leaving but gone.
+	takesNoConnections = "unreachable"
 )
 
 // applyServers gives the admission controller this seat's shares of the
@@ -202,6 +204,7 @@
 			ctl.SetLeaving(now, id, peerSaysSo, leavingByPeer)
 			ctl.SetLeaving(now, id, e.leavingPlatform[id], leavingByPlatform)
 			ctl.SetLeaving(now, id, e.leavingHealth[id], leavingByHealth)
+			ctl.SetLeaving(now, id, e.unreachable[id], takesNoConnections)
 		}
 		return ctl.Tick(now)
 	})
@@ -240,9 +243,33 @@
 	}
 }
 
+// noteReachable takes a server out of use while it refuses connections. Its
+// slots would count as free otherwise and attract requests that then find the
+// retry budget used up. Only servers of this failure domain are noted, because
+// the polls that end it are theirs.
+func (e *Entry) noteReachable(server string, reachable bool) {
+	v := e.currentView()
+	if v == nil || v.servers[server].FailureDomain != e.settings.FailureDomain {
+		return
+	}
+	e.leavingMu.Lock()
+	changed := e.unreachable[server] == reachable
+	if reachable {
+		delete(e.unreachable, server)
+	} else {
+		e.unreachable[server] = true
+	}
+	e.leavingMu.Unlock()
+	if changed {
+		e.log.Info("backend server reachability changed", "backend_server", server, "reachable", reachable)
+		e.updateLeaving(v)
+	}
+}
+
 // handleReport takes a backend server's own report. Reports may mislead, so
 // only "draining" has an effect; slots are counted here.
 func (e *Entry) handleReport(server string, r backend.Report) {
+	e.noteReachable(server, !r.Unreachable)
 	if r.State == backend.StateUnknown {
 		return
 	}
