--- a/internal/testbed/layout.go
+++ b/internal/testbed/layout.go
@@ -91,14 +91,25 @@
 	const first, last = 10000, 30000
 	for range 1000 {
 		base := first + rand.IntN((last-first)/portsPerBed)*portsPerBed
-		guard, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(base+portsPerBed-1)))
-		if err == nil {
-			return base, guard, nil
+		guard, err := listenLocal(base + portsPerBed - 1)
+		if err != nil {
+			continue
 		}
+		// Another program may use the range without holding its last port.
+		platform, err := listenLocal(base + platformOffset)
+		if err != nil {
+			_ = guard.Close()
+			continue
+		}
+		return base, guard, platform.Close()
 	}
 	return 0, nil, errors.New("no free port range found")
 }
 
+func listenLocal(port int) (net.Listener, error) {
+	return net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+}
+
 func (l *layout) port(offset int) string { return strconv.Itoa(l.base + offset) }
 
 func (l *layout) movePorts() {
