Add client blocks as content-addressed chunks

At the planned size the configuration document with all client blocks exceeds the 6 MiB bound of a peer message. Ranges are halved until they hold at most 5,600 blocks, so that a changed block changes one chunk; cuts at every n-th block were ruled out, because one added block moves all later cuts.

Integration into the entry instance is not part of this change.

--- /dev/null
+++ b/pkg/blocks/blocks_test.go
@@ -0,0 +1,218 @@
+package blocks
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// drawBlocks draws distinct blocks of both families, in any order.
+func drawBlocks(t *rapid.T, maxBlocks int) []Block {
+	block := rapid.Custom(func(t *rapid.T) Block {
+		var raw [16]byte
+		binary.BigEndian.PutUint64(raw[:], rapid.Uint64().Draw(t, "addr"))
+		addr := netip.AddrFrom16(raw)
+		if rapid.Bool().Draw(t, "ipv4") {
+			addr = netip.AddrFrom4([4]byte(raw[4:8]))
+		}
+		bits := rapid.IntRange(0, addr.BitLen()).Draw(t, "bits")
+		target := fmt.Sprintf("site-%d", rapid.IntRange(0, 9).Draw(t, "target"))
+		return Block{Prefix: netip.PrefixFrom(addr, bits).Masked(), Target: target}
+	})
+	return rapid.SliceOfNDistinct(block, 0, maxBlocks, func(b Block) netip.Prefix { return b.Prefix }).Draw(t, "blocks")
+}
+
+// manyBlocks spreads n /24 blocks over the IPv4 space.
+func manyBlocks(n int) []Block {
+	const seed = 11
+	random := rand.New(rand.NewPCG(seed, uint64(n)))
+	taken := map[uint32]bool{}
+	out := make([]Block, 0, n)
+	for len(out) < n {
+		block := random.Uint32N(1 << 24)
+		if taken[block] {
+			continue
+		}
+		taken[block] = true
+		addr := netip.AddrFrom4([4]byte{byte(block >> 16), byte(block >> 8), byte(block), 0})
+		out = append(out, Block{Prefix: netip.PrefixFrom(addr, 24), Target: fmt.Sprintf("site-%d", random.IntN(86))})
+	}
+	return out
+}
+
+func sorted(in []Block) []Block {
+	out := slices.Clone(in)
+	slices.SortFunc(out, compare)
+	return out
+}
+
+// Guards against a block that is lost or changed by the encoding, and against
+// two encodings of the same blocks, which would give one content two hashes.
+func TestEncodingKeepsBlocksInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := drawBlocks(t, 60)
+		data, err := Encode(in)
+		require.NoError(t, err)
+		shuffled, err := Encode(rapid.Permutation(in).Draw(t, "order"))
+		require.NoError(t, err)
+		require.Equal(t, data, shuffled)
+		out, err := Decode(data)
+		require.NoError(t, err)
+		require.ElementsMatch(t, in, out)
+		packed := Pack(data)
+		unpacked, err := Unpack(packed, HashOf(data))
+		require.NoError(t, err)
+		require.Equal(t, data, unpacked)
+	})
+}
+
+// Guards against a flipped or missing byte that goes unnoticed after the
+// transfer.
+func TestDamagedChunkIsRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		data, err := Encode(drawBlocks(t, 40))
+		require.NoError(t, err)
+		packed := Pack(data)
+		damaged := slices.Clone(packed)
+		i := rapid.IntRange(0, len(packed)-1).Draw(t, "byte")
+		if rapid.Bool().Draw(t, "cut") {
+			damaged = damaged[:i]
+		} else {
+			damaged[i] ^= byte(rapid.IntRange(1, 255).Draw(t, "flip"))
+		}
+		unpacked, err := Unpack(damaged, HashOf(data))
+		if err == nil {
+			// A bit that carries no content, such as a reserved one.
+			require.Equal(t, data, unpacked)
+			return
+		}
+		require.ErrorIs(t, err, ErrInvalid)
+	})
+}
+
+// Guards against a split that loses blocks, leaves ranges that overlap, or
+// exceeds the bound of a chunk.
+func TestSplitCoversAllBlocks(t *testing.T) {
+	for _, n := range []int{0, 1, MaxChunkBlocks, MaxChunkBlocks + 1, 50_000} {
+		in := manyBlocks(n)
+		chunks, err := Split(in)
+		require.NoError(t, err)
+		x := IndexOf(chunks)
+		require.Equal(t, n, x.Blocks())
+		var out []Block
+		for _, c := range chunks {
+			got, err := Open(c.Ref, Pack(c.Data))
+			require.NoError(t, err)
+			out = append(out, got...)
+		}
+		require.True(t, slices.Equal(sorted(in), out))
+		read, err := DecodeIndex(x.Encode(), x.Hash())
+		require.NoError(t, err)
+		require.Equal(t, len(x.Chunks), len(read.Chunks))
+		for i := range x.Chunks {
+			require.Equal(t, x.Chunks[i], read.Chunks[i])
+		}
+	}
+}
+
+// Guards against a change of one block that moves the cuts of other chunks:
+// every node would then fetch the whole table again.
+func TestOneChangeTouchesOneChunk(t *testing.T) {
+	in := manyBlocks(14_000)
+	before, err := Split(in)
+	require.NoError(t, err)
+	have := map[Hash]bool{}
+	for _, c := range before {
+		have[c.Hash] = true
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		i := rapid.IntRange(0, len(in)-1).Draw(t, "block")
+		changed := slices.Clone(in)
+		// The result of adding a block differs from that of a removal only by
+		// the direction, and a full chunk is cut in two.
+		allowed := 1
+		switch rapid.SampledFrom([]string{"target", "remove", "add"}).Draw(t, "change") {
+		case "target":
+			changed[i].Target = "site-new"
+		case "remove":
+			changed = slices.Delete(changed, i, i+1)
+		case "add":
+			sub := netip.PrefixFrom(changed[i].Prefix.Addr(), 28)
+			changed = append(changed, Block{Prefix: sub, Target: "site-new"})
+			allowed = 2
+		}
+		after, err := Split(changed)
+		require.NoError(t, err)
+		missing := IndexOf(after).Missing(func(h Hash) bool { return have[h] })
+		require.NotEmpty(t, missing)
+		require.LessOrEqual(t, len(missing), allowed)
+	})
+}
+
+// Guards against bad input that is dropped silently or reported one by one.
+func TestInvalidBlocksAreAllReported(t *testing.T) {
+	_, err := Split([]Block{
+		{Prefix: netip.MustParsePrefix("10.0.0.0/8"), Target: "a"},
+		{Prefix: netip.Prefix{}, Target: "a"},
+		{Prefix: netip.MustParsePrefix("10.1.0.0/16")},
+		{Prefix: netip.MustParsePrefix("10.0.0.7/8"), Target: "b"},
+	})
+	require.ErrorContains(t, err, "client_blocks[1].prefix")
+	require.ErrorContains(t, err, "client_blocks[2].target")
+	require.ErrorContains(t, err, `10.0.0.0/8 has two targets, "a" and "b"`)
+	_, err = Encode(manyBlocks(MaxChunkBlocks + 1))
+	require.ErrorContains(t, err, "at most")
+}
+
+// Guards against an IPv4 block that is written in its IPv6 form and is then
+// never found.
+func TestMappedPrefixesBecomeIPv4(t *testing.T) {
+	a, err := Encode([]Block{{Prefix: netip.MustParsePrefix("::ffff:10.0.0.0/104"), Target: "a"}})
+	require.NoError(t, err)
+	b, err := Encode([]Block{{Prefix: netip.MustParsePrefix("10.0.0.0/8"), Target: "a"}})
+	require.NoError(t, err)
+	require.Equal(t, b, a)
+}
+
+// Guards against an index that names a chunk for the wrong range: lookups
+// would send its callers to the wrong site without any error.
+func TestOpenChecksRangeAndCount(t *testing.T) {
+	data, err := Encode([]Block{{Prefix: netip.MustParsePrefix("10.0.0.0/8"), Target: "a"}})
+	require.NoError(t, err)
+	ref := Ref{Range: netip.MustParsePrefix("0.0.0.0/1"), Hash: HashOf(data), Blocks: 1}
+	_, err = Open(ref, Pack(data))
+	require.NoError(t, err)
+	wrongRange, wrongCount := ref, ref
+	wrongRange.Range = netip.MustParsePrefix("128.0.0.0/1")
+	wrongCount.Blocks = 2
+	for _, wrong := range []Ref{wrongRange, wrongCount} {
+		_, err = Open(wrong, Pack(data))
+		require.ErrorIs(t, err, ErrInvalid)
+	}
+}
+
+// Guards against a small message that unpacks to more memory than a node has.
+func TestUnpackBoundsItsMemory(t *testing.T) {
+	_, err := Unpack(Pack(make([]byte, 8*MaxChunkBytes)), Hash{})
+	require.ErrorIs(t, err, ErrInvalid)
+	_, err = Unpack(make([]byte, MaxPackedBytes+1), Hash{})
+	require.ErrorContains(t, err, "at most")
+}
+
+// Guards against hash text of another length that is taken for a hash.
+func TestParseHash(t *testing.T) {
+	want := HashOf([]byte("x"))
+	got, err := ParseHash(want.String())
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+	for _, bad := range []string{"", "zz", want.String()[2:]} {
+		_, err := ParseHash(bad)
+		require.ErrorIs(t, err, ErrInvalid)
+	}
+}
--- /dev/null
+++ b/pkg/blocks/fuzz_test.go
@@ -0,0 +1,61 @@
+package blocks
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func encoded(tb testing.TB, prefixes ...string) []byte {
+	var in []Block
+	for i, p := range prefixes {
+		in = append(in, Block{Prefix: netip.MustParsePrefix(p), Target: string(rune('a' + i%3))})
+	}
+	data, err := Encode(in)
+	require.NoError(tb, err)
+	return data
+}
+
+// Guards against a decoder that crashes on data of a peer, or that accepts a
+// second form of some content.
+func FuzzDecode(f *testing.F) {
+	f.Add(encoded(f))
+	f.Add(encoded(f, "0.0.0.0/0", "10.0.0.0/8", "10.0.0.0/24", "10.0.1.0/24", "255.255.255.255/32"))
+	f.Add(encoded(f, "::/0", "2001:db8::/32", "2001:db8::1/128"))
+	f.Add(encoded(f, "192.0.2.0/25", "2001:db8::/33"))
+	f.Add([]byte{formatVersion, 1, 1, 'a', 1, 33, 0, 0, 0})                  // prefix too long
+	f.Add([]byte{formatVersion, 0x81, 0x00, 1, 'a', 0, 0})                   // number too long
+	f.Add([]byte{formatVersion, 0, 1, 8, 0, 10, 0})                          // no names
+	f.Add([]byte{formatVersion, 1, 1, 'a', 2, 8, 8, 0, 0, 0xff, 1, 0xff, 1}) // beyond the last address
+	f.Fuzz(func(t *testing.T, data []byte) {
+		out, err := Decode(data)
+		if err != nil {
+			require.ErrorIs(t, err, ErrInvalid)
+			return
+		}
+		again, err := Encode(out)
+		require.NoError(t, err)
+		require.Equal(t, data, again)
+	})
+}
+
+// Guards against an index of a peer that crashes the decoder or has a second
+// form.
+func FuzzDecodeIndex(f *testing.F) {
+	chunks, err := Split(manyBlocks(3 * MaxChunkBlocks))
+	require.NoError(f, err)
+	f.Add(IndexOf(chunks).Encode())
+	f.Add(Index{}.Encode())
+	f.Add(Index{Chunks: []Ref{{Range: netip.MustParsePrefix("2000::/3"), Blocks: 1}}}.Encode())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		x, err := DecodeIndex(data, HashOf(data))
+		if err != nil {
+			require.ErrorIs(t, err, ErrInvalid)
+			return
+		}
+		again, err := DecodeIndex(x.Encode(), x.Hash())
+		require.NoError(t, err)
+		require.Equal(t, x, again)
+	})
+}
--- /dev/null
+++ b/pkg/blocks/index.go
@@ -0,0 +1,152 @@
+package blocks
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/go-faster/errors"
+)
+
+// MaxIndexBytes bounds an encoded index: one chunk takes at most 54 bytes, so
+// it holds more than 19,000 chunks.
+const MaxIndexBytes = 1 << 20
+
+// Ref names the chunk of a range.
+type Ref struct {
+	Range  netip.Prefix
+	Hash   Hash
+	Blocks int
+}
+
+// Index names all chunks of one version of the client blocks, in address
+// order. Ranges without a block have no chunk.
+type Index struct {
+	Chunks []Ref
+}
+
+// Blocks counts the blocks of all chunks.
+func (x Index) Blocks() int {
+	n := 0
+	for _, ref := range x.Chunks {
+		n += ref.Blocks
+	}
+	return n
+}
+
+// Hash names this version of the client blocks.
+func (x Index) Hash() Hash { return HashOf(x.Encode()) }
+
+// Missing lists the chunks that are not in a set.
+func (x Index) Missing(have func(Hash) bool) []Ref {
+	var out []Ref
+	for _, ref := range x.Chunks {
+		if !have(ref.Hash) {
+			out = append(out, ref)
+		}
+	}
+	return out
+}
+
+// Encode returns the binary form.
+func (x Index) Encode() []byte {
+	out := []byte{formatVersion}
+	out = binary.AppendUvarint(out, uint64(len(x.Chunks)))
+	for _, ref := range x.Chunks {
+		family := byte(bits4)
+		if ref.Range.Addr().Is6() {
+			family = bits6
+		}
+		out = append(out, family, byte(ref.Range.Bits()))
+		out = append(out, ref.Range.Addr().AsSlice()[:coveredBytes(ref.Range.Bits())]...)
+		out = binary.AppendUvarint(out, uint64(ref.Blocks))
+		out = append(out, ref.Hash[:]...)
+	}
+	return out
+}
+
+// DecodeIndex reads the binary form and checks that it has the hash. It
+// accepts only disjoint ranges in address order.
+func DecodeIndex(data []byte, want Hash) (Index, error) {
+	if len(data) > MaxIndexBytes {
+		return Index{}, errors.Wrapf(ErrInvalid, "index of %d bytes, at most %d are allowed", len(data), MaxIndexBytes)
+	}
+	if got := HashOf(data); got != want {
+		return Index{}, errors.Wrapf(ErrInvalid, "index has hash %s, want %s", got, want)
+	}
+	return parseIndex(data)
+}
+
+func parseIndex(data []byte) (Index, error) {
+	r := &reader{rest: data}
+	if r.oneByte() != formatVersion {
+		r.fail("format version is not %d", formatVersion)
+	}
+	var x Index
+	count := r.number(MaxIndexBytes)
+	for range count {
+		ref := r.ref()
+		if r.err != nil {
+			return Index{}, r.err
+		}
+		if n := len(x.Chunks); n > 0 && !before(x.Chunks[n-1].Range, ref.Range) {
+			r.fail("range %s is out of order", ref.Range)
+		}
+		x.Chunks = append(x.Chunks, ref)
+	}
+	if r.err == nil && len(r.rest) > 0 {
+		r.fail("%d bytes after the last chunk", len(r.rest))
+	}
+	if r.err != nil {
+		return Index{}, r.err
+	}
+	return x, nil
+}
+
+func before(a, b netip.Prefix) bool {
+	return a.Addr().Less(b.Addr()) && !a.Overlaps(b)
+}
+
+func (r *reader) ref() Ref {
+	var ref Ref
+	family, bits := r.oneByte(), r.oneByte()
+	if (family != bits4 && family != bits6) || bits > family {
+		r.fail("range of family %d with prefix length %d", family, bits)
+		return ref
+	}
+	const bitsPerByte = 8
+	raw := make([]byte, family/bitsPerByte)
+	copy(raw, r.take(coveredBytes(int(bits))))
+	addr, _ := netip.AddrFromSlice(raw)
+	ref.Range = netip.PrefixFrom(addr, int(bits))
+	if ref.Range.Masked() != ref.Range {
+		r.fail("range %s has bits beyond its length", ref.Range)
+	}
+	ref.Blocks = int(r.number(MaxChunkBlocks))
+	if ref.Blocks == 0 {
+		r.fail("range %s without a block", ref.Range)
+	}
+	copy(ref.Hash[:], r.take(len(ref.Hash)))
+	return ref
+}
+
+// Open unpacks and decodes the chunk of a range, and checks that its blocks
+// belong there.
+func Open(ref Ref, packed []byte) ([]Block, error) {
+	data, err := Unpack(packed, ref.Hash)
+	if err != nil {
+		return nil, err
+	}
+	out, err := Decode(data)
+	if err != nil {
+		return nil, err
+	}
+	if len(out) != ref.Blocks {
+		return nil, errors.Wrapf(ErrInvalid, "chunk %s has %d blocks, the index says %d", ref.Range, len(out), ref.Blocks)
+	}
+	for _, b := range out {
+		if !ref.Range.Contains(b.Prefix.Addr()) {
+			return nil, errors.Wrapf(ErrInvalid, "block %s is outside the range %s of its chunk", b.Prefix, ref.Range)
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/pkg/blocks/split.go
@@ -0,0 +1,69 @@
+package blocks
+
+import (
+	"net/netip"
+	"slices"
+	"sort"
+)
+
+// Chunk is the blocks whose first address lies in a range.
+type Chunk struct {
+	Ref
+	// Data is the encoded form.
+	Data []byte
+}
+
+// Split cuts blocks, in any order, into chunks in address order. Equal blocks
+// give equal chunks, whatever their history. Its error lists every block that
+// is invalid.
+func Split(in []Block) ([]Chunk, error) {
+	sorted, err := normalize(in)
+	if err != nil {
+		return nil, err
+	}
+	first6 := sort.Search(len(sorted), func(i int) bool { return sorted[i].Prefix.Addr().Is6() })
+	var out []Chunk
+	out = appendRange(out, netip.PrefixFrom(netip.IPv4Unspecified(), 0), sorted[:first6])
+	return appendRange(out, netip.PrefixFrom(netip.IPv6Unspecified(), 0), sorted[first6:]), nil
+}
+
+// appendRange adds the chunks of a range. It ends at single addresses at the
+// latest, because at most 129 blocks start at the same address.
+func appendRange(out []Chunk, within netip.Prefix, sorted []Block) []Chunk {
+	if len(sorted) == 0 {
+		return out
+	}
+	if len(sorted) <= MaxChunkBlocks {
+		return append(out, newChunk(within, sorted))
+	}
+	low, high := halves(within)
+	cut, _ := slices.BinarySearchFunc(sorted, high.Addr(), func(b Block, addr netip.Addr) int {
+		return b.Prefix.Addr().Compare(addr)
+	})
+	out = appendRange(out, low, sorted[:cut])
+	return appendRange(out, high, sorted[cut:])
+}
+
+func newChunk(within netip.Prefix, sorted []Block) Chunk {
+	data := encode(sorted)
+	return Chunk{Ref: Ref{Range: within, Hash: HashOf(data), Blocks: len(sorted)}, Data: data}
+}
+
+// halves cuts a prefix into the two that are one bit longer.
+func halves(p netip.Prefix) (low, high netip.Prefix) {
+	bits := p.Bits() + 1
+	addr := p.Addr().AsSlice()
+	const bitsPerByte = 8
+	addr[p.Bits()/bitsPerByte] |= 0x80 >> (p.Bits() % bitsPerByte)
+	upper, _ := netip.AddrFromSlice(addr)
+	return netip.PrefixFrom(p.Addr(), bits), netip.PrefixFrom(upper, bits)
+}
+
+// IndexOf is the index of chunks from Split.
+func IndexOf(chunks []Chunk) Index {
+	x := Index{Chunks: make([]Ref, len(chunks))}
+	for i, c := range chunks {
+		x.Chunks[i] = c.Ref
+	}
+	return x
+}
