Add drcapacity, which measures the cost of the parts by size

CPU is process CPU time, which a busy machine distorts less than wall time; the load is printed first.

--- /dev/null
+++ b/cmd/drcapacity/heartbeats.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dandelionrack/dandelionrack/pkg/wire"
+)
+
+// heartbeatInterval is the one of pkg/entry.
+const heartbeatInterval = 200 * time.Millisecond
+
+type heartbeatsCommand struct {
+	Nodes    []int         `help:"Numbers of nodes." default:"8,16,32,64"`
+	Services int           `help:"Services whose free slots a heartbeat carries." default:"3"`
+	Duration time.Duration `help:"Time per size." default:"10s"`
+}
+
+// Run measures a full mesh of calls at each size, then the planned form with
+// one stream per pair.
+func (c *heartbeatsCommand) Run(ctx context.Context, out *report) error {
+	c.messageSizes(out)
+	for _, n := range c.Nodes {
+		if err := c.calls(ctx, out, n); err != nil {
+			return err
+		}
+	}
+	for _, n := range c.Nodes {
+		if err := c.streams(ctx, out, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *heartbeatsCommand) messageSizes(out *report) {
+	full := newNode("entry-0000", "", 1, c.Services).heartbeat()
+	out.row("heartbeat message", field{"full_bytes", float64(proto.Size(full))},
+		field{"unchanged_bytes", float64(proto.Size(unchanged(1)))})
+}
+
+// unchanged is a heartbeat on a stream whose sender is known and whose state
+// is the one sent last.
+func unchanged(sequence uint64) *wire.Heartbeat {
+	return &wire.Heartbeat{Sequence: sequence}
+}
+
+// calls measures the heartbeats of pkg/entry: one call per ordered pair and
+// interval. The same sessions without calls show the cost of session pings.
+func (c *heartbeatsCommand) calls(ctx context.Context, out *report, n int) error {
+	m, err := startMesh(n, c.Services)
+	if err != nil {
+		return err
+	}
+	defer m.stop()
+	if _, failed := m.round(ctx); failed > 0 {
+		return fmt.Errorf("%d of the first heartbeats failed", failed)
+	}
+	m.bytes.Store(0)
+	cpu, start := ownCPU(), time.Now()
+	if err := sleep(ctx, c.Duration/2); err != nil {
+		return err
+	}
+	seconds := time.Since(start).Seconds()
+	pingCPU := (ownCPU() - cpu).Seconds() / seconds / float64(n)
+	pingBytes := float64(m.bytes.Load()) / seconds / float64(n)
+	m.bytes.Store(0)
+	cpu, start = ownCPU(), time.Now()
+	exchanges, failed, rounds, err := m.rounds(ctx, c.Duration)
+	if err != nil {
+		return err
+	}
+	seconds = time.Since(start).Seconds()
+	nodeCPU := (ownCPU() - cpu).Seconds() / seconds / float64(n)
+	// A byte is sent by one node and received by another, so that in and out
+	// of one node together are twice the bytes per node.
+	nodeBytes := 2 * float64(m.bytes.Load()) / seconds / float64(n)
+	done := float64(exchanges)
+	out.row(fmt.Sprintf("calls, %d nodes", n),
+		field{"core_percent_per_node", 100 * nodeCPU}, field{"bytes_per_s_per_node", nodeBytes},
+		field{"cpu_us_per_exchange", 1e6 * (nodeCPU - pingCPU) * float64(n) * seconds / done},
+		field{"bytes_per_exchange", (nodeBytes/2 - pingBytes) * float64(n) * seconds / done},
+		field{"ping_core_percent_per_node", 100 * pingCPU}, field{"ping_bytes_per_s_per_node", 2 * pingBytes},
+		field{"rounds_per_s", float64(rounds) / seconds}, field{"failed", float64(failed)})
+	return nil
+}
+
+// rounds runs a round per interval, as many as fit if rounds are late.
+func (m *mesh) rounds(ctx context.Context, d time.Duration) (exchanges, failed int64, rounds int, err error) {
+	end := time.Now().Add(d)
+	t := time.NewTicker(heartbeatInterval)
+	defer t.Stop()
+	for time.Now().Before(end) {
+		done, bad := m.round(ctx)
+		exchanges += done
+		failed += bad
+		rounds++
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return exchanges, failed, rounds, ctx.Err()
+		}
+	}
+	return exchanges, failed, rounds, nil
+}
+
+// round sends one heartbeat from each node to each other.
+func (m *mesh) round(ctx context.Context) (done, failed int64) {
+	var ok, bad atomic.Int64
+	var wg sync.WaitGroup
+	for _, from := range m.nodes {
+		for _, to := range m.nodes {
+			if from == to {
+				continue
+			}
+			wg.Go(func() {
+				if from.beat(ctx, to) != nil {
+					bad.Add(1)
+					return
+				}
+				ok.Add(1)
+			})
+		}
+	}
+	wg.Wait()
+	return ok.Load(), bad.Load()
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/cmd/drcapacity/usage.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// clockTick is the unit of CPU times in /proc on Linux.
+const clockTick = 10 * time.Millisecond
+
+// ownCPU is the CPU time of this process so far, user and system.
+func ownCPU() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// heap is the live heap after a collection.
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// usage is what the kernel counts for one process.
+type usage struct {
+	cpu          time.Duration
+	resident     float64 // bytes now
+	residentPeak float64 // bytes
+}
+
+func usageOf(pid int) (usage, error) {
+	var u usage
+	dir := filepath.Join("/proc", strconv.Itoa(pid))
+	fields, err := statFields(dir)
+	if err != nil {
+		return u, err
+	}
+	const userTime, systemTime = 11, 12 // after the name
+	for _, i := range []int{userTime, systemTime} {
+		ticks, err := strconv.ParseInt(fields[i], 10, 64)
+		if err != nil {
+			return u, errors.Wrap(err, "CPU time")
+		}
+		u.cpu += time.Duration(ticks) * clockTick
+	}
+	status, err := os.ReadFile(filepath.Join(dir, "status"))
+	if err != nil {
+		return u, errors.Wrap(err, "memory")
+	}
+	u.resident = statusBytes(status, "VmRSS:")
+	u.residentPeak = statusBytes(status, "VmHWM:")
+	return u, nil
+}
+
+// statFields are the fields of /proc/<pid>/stat that follow the name, which
+// may itself hold spaces.
+func statFields(dir string) ([]string, error) {
+	data, err := os.ReadFile(filepath.Join(dir, "stat"))
+	if err != nil {
+		return nil, errors.Wrap(err, "process")
+	}
+	end := bytes.LastIndexByte(data, ')')
+	fields := strings.Fields(string(data[end+1:]))
+	const fieldsNeeded = 13
+	if len(fields) < fieldsNeeded {
+		return nil, errors.Errorf("short %s/stat", dir)
+	}
+	return fields, nil
+}
+
+func statusBytes(status []byte, name string) float64 {
+	for line := range strings.Lines(string(status)) {
+		var kib float64
+		if rest, ok := strings.CutPrefix(line, name); ok {
+			if _, err := fmt.Sscan(rest, &kib); err == nil {
+				return kib * 1024
+			}
+		}
+	}
+	return 0
+}
+
+// children are the processes with this name that this process has started.
+func children(name string) ([]int, error) {
+	dirs, err := filepath.Glob("/proc/[0-9]*")
+	if err != nil {
+		return nil, err
+	}
+	var out []int
+	for _, dir := range dirs {
+		comm, err := os.ReadFile(filepath.Join(dir, "comm"))
+		if err != nil || strings.TrimSpace(string(comm)) != name {
+			continue
+		}
+		fields, err := statFields(dir)
+		if err != nil || fields[1] != strconv.Itoa(os.Getpid()) {
+			continue
+		}
+		pid, err := strconv.Atoi(filepath.Base(dir))
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, pid)
+	}
+	return out, nil
+}
