Add drbench: measure loads, drains, changes and fail-over

The baselines are transports behind the same loadgen callers. That keeps load, deadlines and figures the same and needs no change of loadgen. Link bytes come from the admin API of the links, whose address is in the settings that the bed writes; the bed has no accessor for it.

Ruled out: comparing latency over the links of the bed. A link without delay is still a hop of the stand-in, so callers of the part "latency" connect to the entry instances themselves.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,10 @@
 demo: build
 	./bin/drdemo --deployment $(DEPLOYMENT) --bin bin
 
+# Figures need a quiet machine. BENCH takes flags, such as --only=latency.
+bench: build
+	./bin/drbench --bin bin $(BENCH)
+
 test: lint
 	$(GO) test -timeout 8m ./...
 
--- /dev/null
+++ b/internal/bench/latency.go
@@ -0,0 +1,123 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionrack/dandelionrack/internal/loadgen"
+	backendstandin "github.com/dandelionrack/dandelionrack/internal/standin/backend"
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/settings"
+)
+
+const (
+	// latencyPercent is the load of the target for added latency.
+	latencyPercent = 80
+	// latencyCallers is enough for both entry instances of a failure domain to
+	// get about half of them.
+	latencyCallers = 16
+)
+
+// measureLatency compares the system with direct calls inside one failure
+// domain. Service times are fixed, so that the differences are those of the
+// system, and callers connect without a link between.
+func (r *runner) measureLatency(ctx context.Context) error {
+	folder, err := os.MkdirTemp("", "drbench")
+	if err != nil {
+		return errors.Wrap(err, "folder of the deployment")
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	domain, err := writeOneDomain(filepath.Join(r.opts.Deploy, r.name), folder)
+	if err != nil {
+		return err
+	}
+	work := backendstandin.Work{ServiceTime: config.Duration(r.opts.LatencyServiceTime), Distribution: backendstandin.Fixed, BodySize: answerSize}
+	return r.withBed(ctx, folder, nil, work, func(ctx context.Context) error { return r.compareLatency(ctx, domain) })
+}
+
+func (r *runner) compareLatency(ctx context.Context, domain string) error {
+	dep := r.bed.Deployment()
+	streams := streamsFor(dep, r.bed.Contract(), latencyPercent/100.0, r.opts.LatencyServiceTime)
+	out := &LatencyResult{FailureDomain: domain}
+	var err error
+	if out.Direct, err = r.runLoad(ctx, variantDirect, latencyPercent, directCallers(dep, 0, newExactChooser()), streams); err != nil {
+		return err
+	}
+	callers, err := r.bed.Callers(latencyCallers, r.token())
+	if err != nil {
+		return err
+	}
+	if out.System, err = r.runLoad(ctx, variantSystem, latencyPercent, withoutLinks(callers), streams); err != nil {
+		return err
+	}
+	for i, s := range out.System.Services {
+		d := out.Direct.Services[i]
+		out.Added = append(out.Added, Added{Service: s.Service, P50: s.P50 - d.P50, P99: s.P99 - d.P99, P999: s.P999 - d.P999})
+	}
+	r.result.Latency = out
+	return nil
+}
+
+// withoutLinks lets callers connect to the entry instances themselves: even a
+// link without delay costs a hop that is not part of the system.
+func withoutLinks(callers []*loadgen.Caller) []*loadgen.Caller {
+	for _, c := range callers {
+		c.AddressMap = nil
+	}
+	return callers
+}
+
+// writeOneDomain copies a deployment, reduced to its first failure domain, and
+// returns the name of that domain.
+func writeOneDomain(from, to string) (string, error) {
+	var dep config.Deployment
+	if err := settings.Load(filepath.Join(from, "deployment.json"), &dep, nil); err != nil {
+		return "", err
+	}
+	one := oneDomain(dep)
+	data, err := json.Marshal(one)
+	if err != nil {
+		return "", errors.Wrap(err, "deployment")
+	}
+	if err := os.WriteFile(filepath.Join(to, "deployment.json"), data, 0o600); err != nil {
+		return "", errors.Wrap(err, "deployment")
+	}
+	contract, err := os.ReadFile(filepath.Join(from, "contract.json"))
+	if err != nil {
+		return "", errors.Wrap(err, "contract")
+	}
+	if err := os.WriteFile(filepath.Join(to, "contract.json"), contract, 0o600); err != nil {
+		return "", errors.Wrap(err, "contract")
+	}
+	return one.FailureDomains[0].Name, nil
+}
+
+// oneDomain keeps the first failure domain and what is in it.
+func oneDomain(dep config.Deployment) config.Deployment {
+	domain := dep.FailureDomains[0]
+	out := config.Deployment{
+		Regions:                  []config.Region{{Name: domain.Region}},
+		FailureDomains:           []config.FailureDomain{domain},
+		DefaultLinkBitsPerSecond: dep.DefaultLinkBitsPerSecond,
+	}
+	for _, e := range dep.EntryInstances {
+		if e.FailureDomain == domain.Name {
+			out.EntryInstances = append(out.EntryInstances, e)
+		}
+	}
+	for _, s := range dep.BackendServers {
+		if s.FailureDomain == domain.Name {
+			out.BackendServers = append(out.BackendServers, s)
+		}
+	}
+	for _, b := range dep.ClientBlocks {
+		if b.FailureDomain == domain.Name {
+			out.ClientBlocks = append(out.ClientBlocks, b)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/bench/load.go
@@ -0,0 +1,126 @@
+package bench
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionrack/dandelionrack/internal/loadgen"
+	"github.com/dandelionrack/dandelionrack/internal/testbed"
+)
+
+// Variants of a load run.
+const (
+	variantSystem   = "system"
+	variantDirect   = "direct"
+	variantRandom   = "random"
+	variantReported = "least reported"
+)
+
+func (r *runner) measureLoads(ctx context.Context) error {
+	callers, err := r.bed.Callers(callersPerDomain, r.token())
+	if err != nil {
+		return err
+	}
+	for _, percent := range r.opts.Loads {
+		if err := r.addLoad(ctx, variantSystem, percent, callers); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *runner) measureBaselines(ctx context.Context) error {
+	toClients := testbed.DelaysOf(r.name).ToClients
+	reported := &reportedChooser{}
+	polling, stop := context.WithCancel(ctx)
+	defer stop()
+	go reported.poll(polling, r.bed.BackendStats)
+	for _, percent := range r.opts.Loads {
+		for _, b := range []struct {
+			variant string
+			chooser chooser
+		}{{variantRandom, randomChooser{}}, {variantReported, reported}} {
+			if err := r.addLoad(ctx, b.variant, percent, directCallers(r.bed.Deployment(), toClients, b.chooser)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (r *runner) addLoad(ctx context.Context, variant string, percent int, callers []*loadgen.Caller) error {
+	result, err := r.runLoad(ctx, variant, percent, callers, r.streams(percent))
+	if err != nil {
+		return errors.Wrapf(err, "%s at %d %%", variant, percent)
+	}
+	r.result.Loads = append(r.result.Loads, result)
+	return nil
+}
+
+// runLoad sends load for warm-up and duration and measures the latter.
+func (r *runner) runLoad(ctx context.Context, variant string, percent int, callers []*loadgen.Caller, streams []loadgen.Stream) (LoadResult, error) {
+	out := LoadResult{Variant: variant, Percent: percent, Rate: totalRate(streams), MachineLoad: machineLoad()}
+	r.progress("%s at %d %% (%.0f requests/s, machine load %.1f)", variant, percent, out.Rate, out.MachineLoad)
+	results := make(chan []loadgen.Result, 1)
+	started := time.Now()
+	go func() { results <- loadgen.Run(ctx, callers, streams, r.opts.Warmup+r.opts.Duration) }()
+	from := started.Add(r.opts.Warmup)
+	to := from.Add(r.opts.Duration)
+	if err := sleepUntil(ctx, from); err != nil {
+		return out, err
+	}
+	before, err := r.snapshot(ctx)
+	if err != nil {
+		return out, err
+	}
+	free, err := r.watch(ctx, to)
+	if err != nil {
+		return out, err
+	}
+	after, err := r.snapshot(ctx)
+	if err != nil {
+		return out, err
+	}
+	out.addCounters(r.bed, before, after)
+	out.Connections = free.connections
+	out.Services = serviceResults(<-results, streams, from, to, free)
+	return out, nil
+}
+
+// serviceResults summarizes the requests that were sent from one time to
+// another, and the answers that came in that time.
+func serviceResults(results []loadgen.Result, streams []loadgen.Stream, from, to time.Time, free *headroom) []ServiceResult {
+	var sent []loadgen.Result
+	answers := map[string]int{}
+	for _, r := range results {
+		if within(r.SentAt, from, to) {
+			sent = append(sent, r)
+		}
+		if isAnswer(r) && within(r.SentAt.Add(r.Latency), from, to) {
+			answers[r.Service]++
+		}
+	}
+	summaries := loadgen.Summarize(sent)
+	var out []ServiceResult
+	for _, stream := range streams {
+		res := ServiceResult{Service: stream.Service, AtMostOnce: stream.AtMostOnce, Rate: stream.Rate}
+		res.Answers = float64(answers[stream.Service]) / to.Sub(from).Seconds()
+		if s := summaries[stream.Service]; s != nil {
+			res.Sent, res.Outcomes, res.Reasons = s.Sent, s.Outcomes, s.Reasons
+			res.P50, res.P99, res.P999 = s.P50, s.P99, s.P999
+		}
+		if f := free.services[stream.Service]; f != nil {
+			res.Slots, res.MeanFree, res.MinFree = f.slots, f.mean(), f.min
+		}
+		out = append(out, res)
+	}
+	return out
+}
+
+func within(t, from, to time.Time) bool { return !t.Before(from) && t.Before(to) }
+
+func isAnswer(r loadgen.Result) bool {
+	return r.Outcome == loadgen.OutcomeAnswered || r.Outcome == loadgen.OutcomeRecorded
+}
--- /dev/null
+++ b/internal/bench/report.go
@@ -0,0 +1,172 @@
+package bench
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+)
+
+// Report is the result of a bench.
+type Report struct {
+	At                 time.Time           `json:"at"`
+	CPUs               int                 `json:"cpus"`
+	Go                 string              `json:"go"`
+	Command            string              `json:"command"`
+	ServiceTime        config.Duration     `json:"service_time"`
+	LatencyServiceTime config.Duration     `json:"latency_service_time"`
+	Warmup             config.Duration     `json:"warmup"`
+	Duration           config.Duration     `json:"duration"`
+	Deployments        []*DeploymentResult `json:"deployments"`
+}
+
+// DeploymentResult holds what was measured of one deployment.
+type DeploymentResult struct {
+	Deployment string          `json:"deployment"`
+	Latency    *LatencyResult  `json:"latency,omitempty"`
+	Loads      []LoadResult    `json:"loads,omitempty"`
+	Drain      *DrainResult    `json:"drain,omitempty"`
+	Changes    *ChangeResult   `json:"changes,omitempty"`
+	Failover   *FailoverResult `json:"failover,omitempty"`
+}
+
+// LoadResult is one run at one load.
+type LoadResult struct {
+	Variant string  `json:"variant"`
+	Percent int     `json:"load_percent"`
+	Rate    float64 `json:"requests_per_second"`
+	// MachineLoad is the 1-minute load average before the run; figures with a
+	// high one are those of a busy machine.
+	MachineLoad float64         `json:"machine_load"`
+	Services    []ServiceResult `json:"services"`
+	// Overruns counts requests that reached a backend server without a free
+	// slot.
+	Overruns       int64   `json:"overruns"`
+	Connections    int64   `json:"connections"`
+	StoreReads     float64 `json:"store_reads_per_second"`
+	StoreCommits   float64 `json:"store_transactions_per_second"`
+	StoreWrites    float64 `json:"store_rows_written_per_second"`
+	LinkBytes      float64 `json:"link_bytes_per_second"`
+	BusiestLink    string  `json:"busiest_link,omitempty"`
+	BusiestBytes   float64 `json:"busiest_link_bytes_per_second"`
+	BusiestPercent float64 `json:"busiest_link_percent"`
+}
+
+// ServiceResult is what callers of one service saw.
+type ServiceResult struct {
+	Service    string         `json:"service"`
+	AtMostOnce bool           `json:"at_most_once"`
+	Rate       float64        `json:"requests_per_second"`
+	Sent       int            `json:"sent"`
+	P50        float64        `json:"p50_ms"`
+	P99        float64        `json:"p99_ms"`
+	P999       float64        `json:"p999_ms"`
+	Answers    float64        `json:"answers_per_second"`
+	Outcomes   map[string]int `json:"outcomes"`
+	Reasons    map[string]int `json:"reasons,omitempty"`
+	Slots      int            `json:"slots"`
+	MeanFree   float64        `json:"mean_free_slots"`
+	MinFree    int            `json:"min_free_slots"`
+}
+
+// Answered returns the answers per second of all services.
+func (l LoadResult) Answered() float64 {
+	sum := 0.0
+	for _, s := range l.Services {
+		sum += s.Answers
+	}
+	return sum
+}
+
+// LatencyResult compares the system with direct calls inside one failure
+// domain, without link delays.
+type LatencyResult struct {
+	FailureDomain string     `json:"failure_domain"`
+	Direct        LoadResult `json:"direct"`
+	System        LoadResult `json:"system"`
+	Added         []Added    `json:"added"`
+}
+
+// Added is the difference of quantiles of the system and of direct calls.
+type Added struct {
+	Service string  `json:"service"`
+	P50     float64 `json:"p50_ms"`
+	P99     float64 `json:"p99_ms"`
+	P999    float64 `json:"p999_ms"`
+}
+
+// DrainResult is a drain under load.
+type DrainResult struct {
+	Server  string          `json:"server"`
+	Percent int             `json:"load_percent"`
+	Took    config.Duration `json:"took"` // until every entry instance reports it idle
+	// LastStart is the time from the start of the drain to the last run that
+	// began.
+	LastStart config.Duration `json:"last_start"`
+	// LongestRun is the longest run in flight at the start of the drain or
+	// begun after it.
+	LongestRun config.Duration `json:"longest_run"`
+	Limit      config.Duration `json:"limit"` // LongestRun plus 3 s
+	Cancelled  int             `json:"runs_not_completed"`
+}
+
+// ChangeResult is the time until a change is in force everywhere, counted from
+// the moment at which it was accepted.
+type ChangeResult struct {
+	Changes    int             `json:"changes"`
+	Percent    int             `json:"load_percent"`
+	AcceptP50  config.Duration `json:"accept_p50"` // from submission to acceptance
+	AcceptMax  config.Duration `json:"accept_max"`
+	InForceP50 config.Duration `json:"in_force_p50"`
+	InForceMax config.Duration `json:"in_force_max"`
+}
+
+// FailoverResult is the death of one entry instance under load.
+type FailoverResult struct {
+	Entry   string `json:"entry"`
+	Percent int    `json:"load_percent"`
+	// ServedAfter is the time from the death to the first answer to a request
+	// that a caller of its failure domain sent after the death.
+	ServedAfter config.Duration `json:"served_after"`
+	// SlowestAfter is the slowest answer to these callers in the first 5 s.
+	SlowestAfter config.Duration `json:"slowest_after"`
+	// Idempotent and AtMostOnce count requests that were in flight at the
+	// death or sent after it, by outcome and reason.
+	Idempotent map[string]int `json:"idempotent"`
+	AtMostOnce map[string]int `json:"at_most_once"`
+	Overruns   int64          `json:"overruns"`
+}
+
+func newReport(opts Options) *Report {
+	return &Report{
+		At:                 time.Now().UTC().Truncate(time.Second),
+		CPUs:               runtime.NumCPU(),
+		Go:                 runtime.Version(),
+		Command:            "drbench " + strings.Join(os.Args[1:], " "),
+		ServiceTime:        config.Duration(opts.ServiceTime),
+		LatencyServiceTime: config.Duration(opts.LatencyServiceTime),
+		Warmup:             config.Duration(opts.Warmup),
+		Duration:           config.Duration(opts.Duration),
+	}
+}
+
+// WriteJSON writes the report to a file and creates its folder.
+func (r *Report) WriteJSON(file string) error {
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode report")
+	}
+	if err := os.MkdirAll(filepath.Dir(file), 0o755); err != nil {
+		return errors.Wrap(err, "folder of the report")
+	}
+	if err := os.WriteFile(file, append(data, '\n'), 0o644); err != nil {
+		return errors.Wrap(err, "report")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/sample.go
@@ -0,0 +1,196 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	backendstandin "github.com/dandelionrack/dandelionrack/internal/standin/backend"
+	linkstandin "github.com/dandelionrack/dandelionrack/internal/standin/link"
+	platformstandin "github.com/dandelionrack/dandelionrack/internal/standin/platform"
+	"github.com/dandelionrack/dandelionrack/internal/testbed"
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+)
+
+// sampleInterval is the time between two looks at the free slots.
+const sampleInterval = 100 * time.Millisecond
+
+// snapshot holds the counters of the stand-ins at one time.
+type snapshot struct {
+	at       time.Time
+	platform platformstandin.Stats
+	backends map[string]backendstandin.Stats
+	links    []linkstandin.Report
+}
+
+func (r *runner) snapshot(ctx context.Context) (snapshot, error) {
+	s := snapshot{at: time.Now()}
+	var err error
+	if s.platform, err = r.bed.PlatformStats(ctx); err != nil {
+		return s, err
+	}
+	if s.backends, err = r.bed.BackendStats(ctx); err != nil {
+		return s, err
+	}
+	s.links, err = r.linkReports(ctx)
+	return s, err
+}
+
+// linkReports reads the byte counts of the links. The address of their admin
+// API is in the settings that the bed wrote for them.
+func (r *runner) linkReports(ctx context.Context) ([]linkstandin.Report, error) {
+	data, err := os.ReadFile(filepath.Join(r.dir, "drlink.json"))
+	if err != nil {
+		return nil, err
+	}
+	var settings linkstandin.Settings
+	if err := json.Unmarshal(data, &settings); err != nil {
+		return nil, errors.Wrap(err, "settings of the links")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+settings.Admin+"/admin/links", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var out []linkstandin.Report
+	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+		return nil, errors.Wrap(err, "reports of the links")
+	}
+	return out, nil
+}
+
+// headroom accumulates samples of free slots and connections.
+type headroom struct {
+	services    map[string]*freeSlots
+	connections int64 // most at one time
+}
+
+type freeSlots struct {
+	slots, samples, sum, min int
+}
+
+func (f *freeSlots) mean() float64 { return float64(f.sum) / float64(max(f.samples, 1)) }
+
+// add takes one sample of all backend servers.
+func (h *headroom) add(dep config.Deployment, stats map[string]backendstandin.Stats) {
+	free := map[string]int{}
+	slots := map[string]int{}
+	var connections int64
+	for _, server := range dep.BackendServers {
+		s := stats[server.ID]
+		connections += s.OpenConnections
+		for _, name := range server.Services {
+			free[name] += max(s.Slots-s.InFlight, 0)
+			slots[name] += s.Slots
+		}
+	}
+	h.connections = max(h.connections, connections)
+	for name, n := range free {
+		f := h.services[name]
+		if f == nil {
+			f = &freeSlots{slots: slots[name], min: n}
+			h.services[name] = f
+		}
+		f.samples++
+		f.sum += n
+		f.min = min(f.min, n)
+	}
+}
+
+// watch samples until a time.
+func (r *runner) watch(ctx context.Context, until time.Time) (*headroom, error) {
+	h := &headroom{services: map[string]*freeSlots{}}
+	for {
+		stats, err := r.bed.BackendStats(ctx)
+		if err != nil {
+			return h, err
+		}
+		h.add(r.bed.Deployment(), stats)
+		if time.Until(until) < sampleInterval {
+			return h, sleepUntil(ctx, until)
+		}
+		if err := sleepUntil(ctx, time.Now().Add(sampleInterval)); err != nil {
+			return h, err
+		}
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) error {
+	t := time.NewTimer(time.Until(at))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
+// addCounters fills in what changed between two snapshots.
+func (l *LoadResult) addCounters(bed *testbed.Bed, before, after snapshot) {
+	seconds := after.at.Sub(before.at).Seconds()
+	l.StoreReads = float64(after.platform.Reads-before.platform.Reads) / seconds
+	l.StoreCommits = float64(after.platform.Commits-before.platform.Commits) / seconds
+	l.StoreWrites = float64(after.platform.Writes-before.platform.Writes) / seconds
+	l.Overruns = overruns(before, after)
+	for name, bytes := range groupBytes(before, after) {
+		rate := float64(bytes) / seconds
+		l.LinkBytes += rate
+		if rate > l.BusiestBytes {
+			l.BusiestLink, l.BusiestBytes = name, rate
+		}
+	}
+	if bits := bed.Deployment().DefaultLinkBitsPerSecond; bits > 0 {
+		l.BusiestPercent = 100 * 8 * l.BusiestBytes / float64(bits)
+	}
+}
+
+func overruns(before, after snapshot) int64 {
+	var n int64
+	for id, s := range after.backends {
+		n += s.Overruns - before.backends[id].Overruns
+	}
+	return n
+}
+
+// groupBytes returns the bytes of each shared link and direction. Links
+// without a group do not cross regions.
+func groupBytes(before, after snapshot) map[string]int64 {
+	out := map[string]int64{}
+	count := func(links []linkstandin.Report, sign int64) {
+		for _, l := range links {
+			if l.Group != "" {
+				out[l.Group+" forward"] += sign * l.ForwardBytes
+				out[l.Group+" reverse"] += sign * l.ReverseBytes
+			}
+		}
+	}
+	count(after.links, 1)
+	count(before.links, -1)
+	return out
+}
+
+// machineLoad is the 1-minute load average, 0 where there is none to read.
+func machineLoad() float64 {
+	data, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return 0
+	}
+	first, _, _ := strings.Cut(string(data), " ")
+	load, err := strconv.ParseFloat(first, 64)
+	if err != nil {
+		return 0
+	}
+	return load
+}
--- /dev/null
+++ b/internal/bench/streams.go
@@ -0,0 +1,51 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/dandelionrack/dandelionrack/internal/loadgen"
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+)
+
+// slotsOf adds up the slots of each service.
+func slotsOf(dep config.Deployment) map[string]int {
+	slots := map[string]int{}
+	for _, s := range dep.BackendServers {
+		for _, name := range s.Services {
+			slots[name] += s.Slots
+		}
+	}
+	return slots
+}
+
+// streamsFor loads each service at a share of its slots.
+func streamsFor(dep config.Deployment, contract config.Contract, load float64, meanTime time.Duration) []loadgen.Stream {
+	slots := slotsOf(dep)
+	var out []loadgen.Stream
+	for _, svc := range contract.Services {
+		if slots[svc.Name] == 0 {
+			continue
+		}
+		out = append(out, loadgen.Stream{
+			Service:    svc.Name,
+			Rate:       load * float64(slots[svc.Name]) / meanTime.Seconds(),
+			AtMostOnce: !svc.Idempotent,
+			Timeout:    svc.Timeout.Std(),
+		})
+	}
+	return out
+}
+
+func totalRate(streams []loadgen.Stream) float64 {
+	sum := 0.0
+	for _, s := range streams {
+		sum += s.Rate
+	}
+	return sum
+}
+
+// streams are those of the bed at a load in percent.
+func (r *runner) streams(percent int) []loadgen.Stream {
+	mean := time.Duration(float64(r.opts.ServiceTime) * meanFactor)
+	return streamsFor(r.bed.Deployment(), r.bed.Contract(), float64(percent)/100, mean)
+}
