--- a/Makefile
+++ b/Makefile
@@ -34,5 +34,15 @@
 scenarios:
 	SCENARIOS=all $(GO) test -count=1 -timeout 20m ./test/scenarios
 
+# Runs every fuzz target for FUZZTIME; CI runs only their seed corpora.
+FUZZTIME ?= 60s
+fuzz:
+	@for p in $$(grep -rl --include='*_test.go' '^func Fuzz' . | xargs -n1 dirname | sort -u); do \
+		for f in $$(grep -ho '^func Fuzz[A-Za-z]*' $$p/*_test.go | cut -d' ' -f2); do \
+			echo "$$p $$f"; \
+			$(GO) test $$p -run '^$$' -fuzz "^$$f$$" -fuzztime $(FUZZTIME) -parallel 4 || exit 1; \
+		done; \
+	done
+
 clean:
 	rm -rf bin out
