Open connections to backend servers in advance

A new connection takes about 1 ms. Each seat keeps as many connections open as it has slots, refreshed every 15 s (the pool closes idle ones after 30 s).

--- a/pkg/entry/configsync.go
+++ b/pkg/entry/configsync.go
@@ -50,6 +50,10 @@
 	// Last, so that no request finds a view whose servers and limits are not
 	// known yet.
 	e.view.Store(v)
+	select {
+	case e.serversChanged <- struct{}{}:
+	default:
+	}
 	e.metrics.configVersion.Set(int64(doc.Version))
 	return nil
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -50,6 +50,8 @@
 	backends *backend.Pool
 	poller   *backend.Poller
 	buffers  byteBudget
+	// serversChanged wakes runWarm after a configuration change.
+	serversChanged chan struct{}
 
 	membersMu    sync.Mutex
 	members      *membership.Members
@@ -106,6 +108,7 @@
 		leavingHealth:   map[string]bool{},
 		unreachable:     map[string]bool{},
 		confirmed:       map[string]bool{},
+		serversChanged:  make(chan struct{}, 1),
 		burn:            burn.New(burn.Config{}),
 		spans:           trace.NewRing(trace.RingConfig{}),
 	}
@@ -211,6 +214,7 @@
 		e.runConfigPoll,
 		e.runHeartbeats,
 		e.runInstanceList,
+		e.runWarm,
 		e.archiver.Run,
 	} {
 		group.Go(func() error {
--- /dev/null
+++ b/pkg/entry/warm.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// warmInterval is half the idle timeout of the connection pool.
+	warmInterval = 15 * time.Second
+	warmTimeout  = time.Second
+)
+
+// runWarm keeps as many connections open to each backend server as this seat
+// has slots there, because a new connection takes about 1 ms of a request.
+func (e *Entry) runWarm(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-e.serversChanged:
+		}
+		if v := e.currentView(); v != nil {
+			e.warmServers(ctx, v)
+		}
+		timer.Reset(warmInterval)
+	}
+}
+
+func (e *Entry) warmServers(ctx context.Context, v *view) {
+	for _, st := range e.serverStatus() {
+		server, ok := v.servers[st.ID]
+		if !ok || st.Leaving || st.Share == 0 {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, warmTimeout)
+		err := e.backends.Warm(callCtx, server.ID, e.settings.reach(server.Addr), st.Share)
+		cancel()
+		if err != nil {
+			e.log.Debug("connections could not be opened in advance", "backend_server", server.ID, "error", err)
+		}
+	}
+}
