--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -50,6 +50,8 @@
 	backends *backend.Pool
 	poller   *backend.Poller
 	buffers  byteBudget
+	// serversChanged wakes runWarm after a configuration change.
+	serversChanged chan struct{}
 
 	membersMu    sync.Mutex
 	members      *membership.Members
@@ -60,6 +62,7 @@
 	leavingMu       sync.Mutex
 	leavingPlatform map[string]bool
 	leavingHealth   map[string]bool
+	unreachable     map[string]bool
 
 	confirmMu      sync.Mutex
 	confirmed      map[string]bool
@@ -103,7 +106,9 @@
 		members:         membership.New(membership.Config{Self: settings.ID}),
 		leavingPlatform: map[string]bool{},
 		leavingHealth:   map[string]bool{},
+		unreachable:     map[string]bool{},
 		confirmed:       map[string]bool{},
+		serversChanged:  make(chan struct{}, 1),
 		burn:            burn.New(burn.Config{}),
 		spans:           trace.NewRing(trace.RingConfig{}),
 	}
@@ -206,6 +211,7 @@
 		e.runConfigPoll,
 		e.runHeartbeats,
 		e.runInstanceList,
+		e.runWarm,
 		e.archiver.Run,
 	} {
 		group.Go(func() error {
@@ -286,6 +292,11 @@
 	return 0
 }
 
+// liveFor is how long after its last heartbeat an incarnation may still settle
+// its claims by itself. Later they are listed as unresolved; a process behind a
+// cut link is not provably gone.
+const liveFor = 2 * time.Second
+
 // incarnationLive reports whether an incarnation is known to be running.
 func (e *Entry) incarnationLive(i claim.Incarnation) bool {
 	if i == e.self {
@@ -294,7 +305,7 @@
 	e.membersMu.Lock()
 	defer e.membersMu.Unlock()
 	st := e.members.Peer(i.Entry)
-	return st.Incarnation == i.Number && st.State != membership.StateGone
+	return st.Incarnation == i.Number && time.Since(st.LastHeard) < liveFor
 }
 
 func (e *Entry) configuredEntries() int {
