--- a/pkg/entry/settings_test.go
+++ b/pkg/entry/settings_test.go
@@ -20,10 +20,13 @@
   "platform_url": "http://127.0.0.1:9000", "seeds": ["127.0.0.2:7002"],
 }`
 
-// Guards against settings that fail one by one, or only after the start.
+// Guards against settings that fail one by one, or only after the start, and
+// against examples that do.
 func TestSettingsFindings(t *testing.T) {
 	var s Settings
 	require.NoError(t, settings.Parse("f", []byte(goodSettings), &s, s.Check))
+	require.NoError(t, settings.Load("../../docs/examples/entry-1.json", &s, s.Check))
+	require.NoError(t, settings.Load("../../docs/examples/entry-2.json", &s, s.Check))
 	text := `{"id": "a b", "caller_addr": "h:1", "peer_addr": "127.0.0.1:99999", "operator_addr": "127.0.0.1:0",
 "platform_url": "ftp://x", "seeds": ["x"], "address_map": {"a": "b"}, "log_level": "loud", "log_format": "xml",
 "lookup_ttl": "-1s", "max_request_bytes": 9000000, "max_response_bytes": -1, "max_buffered_bytes": -1,
