--- a/test/scenarios/state_test.go
+++ b/test/scenarios/state_test.go
@@ -77,6 +77,7 @@
 		"bed":        cmdBed,
 		"busy":       cmdBusy,
 		"call":       cmdCall,
+		"chaos":      cmdChaos,
 		"cut":        cmdCut,
 		"drctl":      cmdDrctl,
 		"entry":      cmdEntry,
