--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -15,9 +15,12 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"github.com/dandelionrack/dandelionrack/pkg/admission"
+	"github.com/dandelionrack/dandelionrack/pkg/budget"
 	"github.com/dandelionrack/dandelionrack/pkg/burn"
+	"github.com/dandelionrack/dandelionrack/pkg/claim"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/operator"
+	"github.com/dandelionrack/dandelionrack/pkg/peer"
 	"github.com/dandelionrack/dandelionrack/pkg/platform"
 	"github.com/dandelionrack/dandelionrack/pkg/trace"
 	"github.com/dandelionrack/dandelionrack/pkg/wire"
@@ -30,7 +33,7 @@
 const maxUnresolved = 1000
 
 func (e *Entry) operatorRoutes() []rest.Route {
-	routes := operator.Routes(e, e.settings.OperatorToken)
+	routes := append(operator.Routes(e, e.settings.OperatorToken), e.profileRoutes()...)
 	return append(routes, rest.Route{Method: http.MethodGet, Path: "/debug/vars", Handler: e.handleVars})
 }
 
@@ -38,14 +41,66 @@
 // and are open, as monitoring expects.
 func (e *Entry) handleVars(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
-	servers, _ := json.Marshal(e.serverStatus())
-	_, _ = fmt.Fprintf(w, "{\n\"dandelionrack\": %s,\n\"servers\": %s", e.metrics.root.String(), servers)
+	state, _ := json.Marshal(e.vars())
+	_, _ = fmt.Fprintf(w, "{\n\"dandelionrack\": %s,\n\"state\": %s", e.metrics.root.String(), state)
 	expvar.Do(func(kv expvar.KeyValue) {
 		_, _ = fmt.Fprintf(w, ",\n%q: %s", kv.Key, kv.Value)
 	})
 	_, _ = fmt.Fprint(w, "\n}\n")
 }
 
+// vars is the state that is read when it is asked for, not counted.
+type vars struct {
+	Servers []admission.ServerStatus `json:"servers"`
+	// Queues holds the queued requests by service.
+	Queues map[string]int `json:"queues"`
+	// Links holds the bytes that may be sent now, by region.
+	Links  map[string]float64  `json:"link_bytes_available"`
+	Claims claim.Stats         `json:"claims"`
+	Trace  trace.ArchiverStats `json:"trace_archive"`
+	Peers  peer.Stats          `json:"peer_server"`
+}
+
+func (e *Entry) vars() vars {
+	out := vars{
+		Servers: e.serverStatus(),
+		Queues:  map[string]int{},
+		Links:   map[string]float64{},
+		Claims:  e.claims.Stats(),
+		Trace:   e.archiver.Stats(),
+		Peers:   e.peerServer.Stats(),
+	}
+	v := e.currentView()
+	if v == nil {
+		return out
+	}
+	e.gate.read(func(ctl *admission.Controller, _ time.Time) {
+		for service := range v.byService {
+			out.Queues[service] = ctl.QueueLength(service)
+		}
+	})
+	e.limits.mu.Lock()
+	defer e.limits.mu.Unlock()
+	for _, region := range v.doc.Deployment.Regions {
+		if region.Name != v.region {
+			pair := budget.LinkPair{From: v.region, To: region.Name}
+			out.Links[region.Name] = e.limits.links.Available(time.Now(), pair)
+		}
+	}
+	return out
+}
+
+// freeSlots counts the free slots of this seat by service.
+func (e *Entry) freeSlots(v *view) map[string]int {
+	out := map[string]int{}
+	e.gate.read(func(ctl *admission.Controller, now time.Time) {
+		for service := range v.byService {
+			out[service] = ctl.Free(now, service)
+		}
+	})
+	return out
+}
+
 func (e *Entry) serverStatus() []admission.ServerStatus {
 	var out []admission.ServerStatus
 	e.gate.read(func(ctl *admission.Controller, now time.Time) { out = ctl.Snapshot(now) })
@@ -186,31 +241,11 @@
 	if err != nil {
 		missing = append(missing, "archive: "+err.Error())
 	}
-	spans = trace.Sort(append(spans, archived...))
-	out := operator.TraceReport{RequestID: requestID, Incomplete: missing}
-	for _, s := range spans {
-		out.Spans = append(out.Spans, operatorSpan(s))
-	}
-	return out, nil
-}
-
-func operatorSpan(s trace.Span) operator.Span {
-	return operator.Span{
-		At:              s.At,
-		Entry:           s.Entry,
-		FailureDomain:   s.FailureDomain,
-		Kind:            s.Kind,
-		Attempt:         s.Attempt,
-		Customer:        s.Customer,
-		Service:         s.Service,
-		ContractVersion: s.ContractVersion,
-		ConfigVersion:   s.ConfigVersion,
-		BackendServer:   s.BackendServer,
-		Peer:            s.Peer,
-		Reason:          s.Reason,
-		Outcome:         s.Outcome,
-		DurationUS:      s.DurationUS,
-	}
+	return operator.TraceReport{
+		RequestID:  requestID,
+		Spans:      trace.Sort(append(spans, archived...)),
+		Incomplete: missing,
+	}, nil
 }
 
 func (e *Entry) handleTraceQuery(q *wire.TraceQuery) *wire.Response {
@@ -235,7 +270,7 @@
 	if doc == nil {
 		return operator.BurnReport{}, errors.New("no configuration known yet")
 	}
-	return burnReport(burn.Report(burn.Merge(snapshots...), doc), doc, missing), nil
+	return operator.BurnReport{Result: burn.Report(burn.Merge(snapshots...), doc), Unreachable: missing}, nil
 }
 
 func (e *Entry) handleBurnQuery() *wire.Response {
@@ -246,34 +281,6 @@
 	return &wire.Response{Reply: &wire.Response_Burn{Burn: &wire.BurnReply{Counts: data}}}
 }
 
-func burnReport(r burn.Result, doc *config.Document, missing []string) operator.BurnReport {
-	out := operator.BurnReport{Unreachable: missing}
-	for _, s := range r.Services {
-		row := operator.ServiceBurn{Customer: s.Customer, Service: s.Service}
-		if contract, ok := doc.Contracts[s.Customer]; ok {
-			if svc, ok := contract.FindService(s.Service); ok {
-				row.Objective = svc.Objective
-			}
-		}
-		for _, w := range s.Windows {
-			row.Windows = append(row.Windows, windowBurn(w))
-		}
-		out.Services = append(out.Services, row)
-	}
-	return out
-}
-
-func windowBurn(w burn.WindowBurn) operator.WindowBurn {
-	out := operator.WindowBurn{Total: float64(w.Good + w.Bad), Bad: float64(w.Bad)}
-	if length, err := time.ParseDuration(string(w.Window)); err == nil {
-		out.Window = config.Duration(length)
-	}
-	if w.BurnRate != nil {
-		out.Burn = *w.BurnRate
-	}
-	return out
-}
-
 // Routes implements operator.Backend.
 func (e *Entry) Routes(context.Context) (operator.RoutesReport, error) {
 	v := e.currentView()
@@ -296,6 +303,7 @@
 	for i := range out.Entries {
 		if out.Entries[i].ID == e.settings.ID {
 			out.Entries[i].State = string(stateFromWire(e.state()))
+			out.Entries[i].FreeSlots = e.freeSlots(v)
 		}
 	}
 	for _, st := range e.serverStatus() {
@@ -355,7 +363,6 @@
 		ConfigVersion: e.configVersion(),
 		StartedAt:     e.started,
 		StoreOK:       !errors.Is(err, platform.ErrUnavailable) && err == nil,
-		FreeSlots:     map[string]int{},
 	}
 	e.membersMu.Lock()
 	for _, st := range e.members.Peers(time.Now()) {
@@ -364,11 +371,7 @@
 	e.membersMu.Unlock()
 	if v := e.currentView(); v != nil {
 		out.Region = v.region
-		e.gate.read(func(ctl *admission.Controller, now time.Time) {
-			for service := range v.byService {
-				out.FreeSlots[service] = ctl.Free(now, service)
-			}
-		})
+		out.FreeSlots = e.freeSlots(v)
 	}
 	return out, nil
 }
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -1,12 +1,13 @@
 package entry
 
 import (
-	"net"
+	"net/netip"
 	"net/url"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/dandelionrack/dandelionrack/pkg/claim"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/findings"
 )
@@ -34,13 +35,14 @@
 	// MaxRequestBytes and MaxResponseBytes bound bodies.
 	MaxRequestBytes  int64 `json:"max_request_bytes,omitempty"`
 	MaxResponseBytes int64 `json:"max_response_bytes,omitempty"`
-	// MaxBufferedBytes bounds the request and response bodies that are held in
+	// MaxBufferedBytes bounds the bodies of callers' requests that are held in
 	// memory at one time.
 	MaxBufferedBytes int64 `json:"max_buffered_bytes,omitempty"`
 	// MaxCallerConnections bounds open connections of callers.
 	MaxCallerConnections int `json:"max_caller_connections,omitempty"`
-	// AllowClientAddress lets a lookup name the caller's address in the query,
-	// for callers behind a common address.
+	// AllowClientAddress lets a caller name its address in the header
+	// Client-Address or, in a lookup, in the query, for callers behind a
+	// common address.
 	AllowClientAddress bool `json:"allow_client_address,omitempty"`
 	// AddressMap replaces addresses of peers and backend servers by the ones
 	// through which they are reached from here, for address translation
@@ -110,6 +112,9 @@
 // Check adds a finding for every problem of the settings.
 func (s *Settings) Check(l *findings.List) {
 	required(l, "id", s.ID)
+	if s.ID != "" && !validID(s.ID) {
+		l.Add("id", "must be 1 to 64 letters, digits, dots, dashes or underscores, got %q", s.ID)
+	}
 	required(l, "failure_domain", s.FailureDomain)
 	required(l, "operator_token", s.OperatorToken)
 	addrs := map[string]string{}
@@ -187,9 +192,16 @@
 	seen[addr] = path
 }
 
+// validID reports whether the keys that an entry instance of this id issues
+// can be read again.
+func validID(id string) bool {
+	_, err := claim.ParseKey(claim.NewIssuedKey(claim.Incarnation{Entry: id}, time.Now()))
+	return err == nil
+}
+
 func validHostPort(addr string) bool {
-	host, port, err := net.SplitHostPort(addr)
-	return err == nil && net.ParseIP(host) != nil && port != ""
+	ap, err := netip.ParseAddrPort(addr)
+	return err == nil && ap.Port() != 0
 }
 
 // reach returns the address through which a configured address is reached.
