Measure idle entry instances by backend servers; write a heartbeat as one frame

protodelim writes the length and the message apart, which made two frames of 12 bytes each: 27 bytes per unchanged heartbeat were measured on the stream form. The bed of 32 entry instances did not start, because it ran a link for each of 87 failure domains; it has one failure domain now.

--- a/cmd/drcapacity/beddocument.go
+++ b/cmd/drcapacity/beddocument.go
@@ -15,13 +15,17 @@
 	bedServers  = 12
 )
 
-// bedDocument is one failure domain with n entry instances, 12 backend
-// servers and client blocks that belong to other sites.
-func bedDocument(entries, blocks int) *config.Document {
+// bedDocument is one failure domain with client blocks that belong to other
+// sites.
+func bedDocument(entries, servers, blocks int) *config.Document {
 	doc := sampleDocument(0, 0, 1, blocks)
 	sum := sha256.Sum256([]byte(bedToken))
 	doc.Contracts[bedCustomer].TokenSHA256 = []string{hex.EncodeToString(sum[:])}
 	dep := &doc.Deployment
+	if blocks == 0 {
+		// The bed runs a link for each failure domain and entry instance.
+		dep.FailureDomains = nil
+	}
 	dep.FailureDomains = append(dep.FailureDomains, config.FailureDomain{Name: bedDomain, Region: regionName(0)})
 	// The block of the callers of the bed.
 	dep.ClientBlocks = append(dep.ClientBlocks, config.ClientBlock{Prefix: "10.0.0.0/8", FailureDomain: bedDomain})
@@ -32,7 +36,7 @@
 			CallerAddr: host + ":7001", PeerAddr: host + ":7002", OperatorAddr: host + ":7003",
 		})
 	}
-	for i := range bedServers {
+	for i := range servers {
 		dep.BackendServers = append(dep.BackendServers, config.BackendServer{
 			ID: fmt.Sprintf("server-%d", i), Addr: fmt.Sprintf("127.31.1.%d:8000", i+1), FailureDomain: bedDomain,
 			Services: []string{"catalogue", "deposits", "royalties"}, Slots: 7, MaxConnections: 330,
--- a/cmd/drcapacity/streams.go
+++ b/cmd/drcapacity/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -30,7 +31,7 @@
 		}
 	}
 	cpu, start := ownCPU(), time.Now()
-	bytes := s.bytes.Load()
+	before := s.bytes.Load()
 	for time.Since(start) < c.Duration {
 		if err := s.round(); err != nil {
 			return err
@@ -41,7 +42,7 @@
 	}
 	seconds := time.Since(start).Seconds()
 	nodeCPU := (ownCPU() - cpu).Seconds() / seconds / float64(n)
-	nodeBytes := 2 * float64(s.bytes.Load()-bytes) / seconds / float64(n)
+	nodeBytes := 2 * float64(s.bytes.Load()-before) / seconds / float64(n)
 	sent := float64(s.sent.Load())
 	out.row(fmt.Sprintf("streams, %d nodes", n),
 		field{"core_percent_per_node", 100 * nodeCPU}, field{"bytes_per_s_per_node", nodeBytes},
@@ -119,8 +120,13 @@
 
 func (s *streamMesh) round() error {
 	s.sequence++
+	// One write, because each write is a frame with a header of 12 bytes.
+	var message bytes.Buffer
+	if _, err := protodelim.MarshalTo(&message, unchanged(s.sequence)); err != nil {
+		return errors.Wrap(err, "encode heartbeat")
+	}
 	for _, end := range s.ends {
-		if _, err := protodelim.MarshalTo(end, unchanged(s.sequence)); err != nil {
+		if _, err := end.Write(message.Bytes()); err != nil {
 			return errors.Wrap(err, "write heartbeat")
 		}
 		s.sent.Add(1)
