claim: keep several transactions in flight and write claims before results

Cause: one transaction in flight per entry instance made a claim wait for the transaction before it, which may have carried results only.

Change: a transaction may start every interval (entries/budget) while at most four are in flight, and one at a time while the store fails. A key is in at most one of them. Results wait up to two intervals (at most 250 ms) for claims to travel with, and keep a quarter of a group once they are 1 s old. Flush does not wait. Transactions that fail together count as one failure.

--- a/pkg/claim/committer.go
+++ b/pkg/claim/committer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -18,65 +19,99 @@
 	// outageGroup bounds the rows sent again and again during an outage.
 	outageGroup = 16
 	maxBackoff  = time.Second
+	// maxInFlight bounds the transactions in flight. Four intervals of 55 ms
+	// (eleven entries) cover a round trip of 220 ms, twice that of the
+	// farthest region.
+	maxInFlight = 4
+	// resultIntervals is how many intervals results wait for claims to travel
+	// with. A longer wait leaves more claimed rows behind when the process is
+	// killed, so many entries with their long intervals do not prolong it.
+	resultIntervals = 2
+	maxResultWait   = 250 * time.Millisecond
+	// resultReserveAge is the age at which results get room beside claims.
+	resultReserveAge = time.Second
 )
 
 // Run writes claims and results until ctx ends. Attempts that still wait for
 // their claim then end not run.
 func (m *Manager) Run(ctx context.Context) error {
 	defer m.close()
-	var lastStart time.Time
+	var flights sync.WaitGroup
+	// Attempts end only after the outcome of every transaction is known.
+	defer flights.Wait()
 	for {
-		if err := m.waitForWork(ctx, lastStart); err != nil {
+		if err := m.waitForStart(ctx); err != nil {
 			return err
 		}
-		lastStart = m.cfg.Now()
-		m.commitGroup(ctx)
+		if g := m.begin(); g != nil {
+			flights.Go(func() { m.commitGroup(ctx, g) })
+		}
 	}
 }
 
-// waitForWork returns when there is something to write and the minimum
-// interval since the last transaction has passed.
-func (m *Manager) waitForWork(ctx context.Context, lastStart time.Time) error {
-	sweep := time.NewTicker(sweepInterval)
-	defer sweep.Stop()
-	for !m.hasWork() {
+// waitForStart returns when a transaction may start.
+func (m *Manager) waitForStart(ctx context.Context) error {
+	for {
+		pause := m.untilStart()
+		if pause <= 0 {
+			return ctx.Err()
+		}
+		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return ctx.Err()
 		case <-m.wake:
-		case <-sweep.C:
-			m.sweepNow()
+			timer.Stop()
+		case <-timer.C:
 		}
 	}
-	m.sweepNow()
-	pause := m.interval() - m.cfg.Now().Sub(lastStart)
-	if pause <= 0 {
-		return ctx.Err()
-	}
-	return sleep(ctx, pause)
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
+// untilStart returns how long to wait before the next transaction may start,
+// at most sweepInterval. A wake-up may shorten the wait.
+func (m *Manager) untilStart() time.Duration {
+	interval := m.interval()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.cfg.Now()
+	m.sweep(now)
+	limit := maxInFlight
+	if m.outage > 0 {
+		// A store in trouble gets one probe at a time.
+		limit = 1
 	}
+	if m.inFlight >= limit || len(m.urgent)+len(m.background)+len(m.retry) == 0 {
+		return sweepInterval
+	}
+	start := m.lastStart.Add(interval)
+	if m.onlyFreshResults() {
+		if overdue := m.background[0].queuedAt.Add(min(resultIntervals*interval, maxResultWait)); overdue.After(start) {
+			start = overdue
+		}
+	}
+	return start.Sub(now)
 }
 
-func (m *Manager) hasWork() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return len(m.urgent)+len(m.background)+len(m.retry) > 0
+// onlyFreshResults reports whether nothing but results is queued and no one
+// waits for them. A transaction of results alone would make the next claim
+// wait for an interval, so results wait a while for claims to travel with.
+func (m *Manager) onlyFreshResults() bool {
+	return len(m.urgent)+len(m.retry) == 0 && len(m.background) > 0 && m.flushing == 0
 }
 
-func (m *Manager) sweepNow() {
+// begin takes the next group as a transaction in flight, or returns nil.
+func (m *Manager) begin() *group {
+	now := m.cfg.Now()
+	g := m.collect(now)
+	if len(g.recs) == 0 {
+		return nil
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.sweep(m.cfg.Now())
+	m.lastStart = now
+	m.inFlight++
+	return g
 }
 
 // interval is the time between the starts of two transactions. Every
@@ -96,27 +131,32 @@
 	return d
 }
 
-// group is the content of one transaction.
+// group is the content of one transaction. A key is in at most one group in
+// flight, because machine.take returns nothing while a write is in flight.
 type group struct {
 	recs []*record
 	tx   platform.Tx
 	size int
+	// failures is the number of counted failures when the group was taken.
+	failures uint64
 }
 
-func (m *Manager) commitGroup(ctx context.Context) {
-	g := m.collect(m.cfg.Now())
-	if len(g.recs) == 0 {
-		return
-	}
+func (m *Manager) commitGroup(ctx context.Context, g *group) {
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.CommitTimeout)
 	defer cancel()
-	m.settle(g, m.cfg.Table.Commit(ctx, g.tx))
+	err := m.cfg.Table.Commit(ctx, g.tx)
+	m.settle(g, err)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.inFlight--
+	m.wakeUp()
 }
 
 // collect takes the next group. Keys whose group failed through a conflict of
 // other keys go alone: mixed with new keys, a steady stream of conflicts would
-// hold them up without end. Then come claims that callers wait for, which
-// leave a quarter of the group to the results.
+// hold them up without end. Then come claims that callers wait for, and last
+// the results; overdue results keep a quarter of the group, so that a stream
+// of claims cannot hold them up without end.
 func (m *Manager) collect(now time.Time) *group {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -124,12 +164,16 @@
 	if m.outage > 0 {
 		limit = min(limit, outageGroup)
 	}
-	g := &group{}
+	g := &group{failures: m.failures}
 	m.fill(g, &m.retry, limit, now)
 	if len(g.recs) > 0 {
 		return g
 	}
-	m.fill(g, &m.urgent, limit-limit/4, now)
+	reserved := 0
+	if len(m.background) > 0 && now.Sub(m.background[0].queuedAt) >= resultReserveAge {
+		reserved = limit / 4
+	}
+	m.fill(g, &m.urgent, limit-reserved, now)
 	m.fill(g, &m.background, limit, now)
 	m.fill(g, &m.urgent, limit, now)
 	return g
@@ -244,7 +288,13 @@
 	if m.outage >= attemptFailures {
 		limit = 1
 	}
-	m.outage++
+	// Transactions that were in flight together fail for one cause and count
+	// as one failure.
+	first := g.failures == m.failures
+	if first {
+		m.outage++
+		m.failures++
+	}
 	// Any error that does not promise "nothing written" leaves doubt, also
 	// the end of the context.
 	unknown := !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrConflict)
@@ -253,7 +303,7 @@
 	} else {
 		m.stats.Unavailable++
 	}
-	if m.outage == 1 {
+	if first && m.outage == 1 {
 		m.cfg.Logger.Warn("claim transaction failed", "keys", len(g.recs), "error", err)
 	}
 	for _, rec := range g.recs {
@@ -290,6 +340,8 @@
 // Flush waits until every claim and result known so far is written. Run must
 // still be active. It fails when ctx ends first.
 func (m *Manager) Flush(ctx context.Context) error {
+	m.flushNow(1)
+	defer m.flushNow(-1)
 	for {
 		left, changed := m.unwritten()
 		if left == 0 {
@@ -303,6 +355,14 @@
 	}
 }
 
+// flushNow counts the callers of Flush; results do not wait while there are any.
+func (m *Manager) flushNow(change int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.flushing += change
+	m.wakeUp()
+}
+
 func (m *Manager) unwritten() (int, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/pkg/claim/manager.go
+++ b/pkg/claim/manager.go
@@ -96,7 +96,11 @@
 	// key. A clock that steps back cannot make such a key acceptable again.
 	evictedThrough time.Time
 	lastSweep      time.Time
-	outage         int // consecutive failed transactions
+	outage         int       // consecutive failed transactions
+	failures       uint64    // counted failures since the start
+	inFlight       int       // transactions in flight
+	lastStart      time.Time // of the last transaction
+	flushing       int       // callers of Flush
 	stats          Stats
 	idle           chan struct{} // closed and replaced when a record settles
 }
@@ -108,7 +112,9 @@
 	machine machine
 	ticket  *Ticket // of the current or last attempt
 	queued  bool
-	bytes   int
+	// queuedAt is when the record was last queued.
+	queuedAt time.Time
+	bytes    int
 	// stripped means that the result was dropped because the store has it.
 	stripped bool
 }
@@ -275,11 +281,17 @@
 		return
 	}
 	rec.queued = true
+	rec.queuedAt = m.cfg.Now()
 	if rec.machine.phase == claiming {
 		m.urgent = append(m.urgent, rec)
 	} else {
 		m.background = append(m.background, rec)
 	}
+	m.wakeUp()
+}
+
+// wakeUp makes Run look again at what may start.
+func (m *Manager) wakeUp() {
 	select {
 	case m.wake <- struct{}{}:
 	default:
