shift: a refused request has not returned home

Cause (scenario region_return, known red): after the loss of a region its requests were served elsewhere up to the cap. When its servers were back, the other regions were full, so the remote count fell by itself; the rise at home was then taken for a return above the cap and refused, although the home servers were free. Ruled out: slow start of the servers (over after 5 s).

The bound on returns now leaves out the requests of that home that were refused in the same window: they explain the fall, so nothing moved. The audit applies the same rule to its own counts of refused requests; a log that breaks the rule without refusals is still a violation (TestCheckFindsViolations).

--- a/internal/testbed/shift.go
+++ b/internal/testbed/shift.go
@@ -42,6 +42,17 @@
 			Incarnation: incarnation(r, restarts),
 		})
 	}
+	for _, r := range results {
+		svc, ok := b.layout.contract.FindService(r.Service)
+		if !ok || r.Outcome != loadgen.OutcomeNotRun || r.RequestID == "" {
+			continue
+		}
+		records[svc.Name] = append(records[svc.Name], audit.Record{
+			Time:        r.SentAt.Add(r.Latency),
+			Home:        b.homeRegion(r.Client),
+			Incarnation: incarnation(r, restarts),
+		})
+	}
 	return b.checkShift(records)
 }
 
--- a/pkg/entry/limits.go
+++ b/pkg/entry/limits.go
@@ -141,6 +141,13 @@
 	}
 }
 
+// noteRefused tells the shift cap that a request was served nowhere.
+func (e *Entry) noteRefused(req *request) {
+	e.limits.mu.Lock()
+	defer e.limits.mu.Unlock()
+	e.limits.shift.Refused(time.Now(), req.limitKey(), req.homeRegion)
+}
+
 // mustStayAway names the region that a request has to go to because its
 // return home would exceed the cap, or "".
 func (e *Entry) mustStayAway(req *request) string {
--- a/pkg/entry/steer.go
+++ b/pkg/entry/steer.go
@@ -53,7 +53,11 @@
 		rep := s.tryHedged(ctx)
 		mayHaveRun = mayHaveRun || rep.outcome == wire.Outcome_OUTCOME_UNKNOWN
 		if !s.mayRetry(ctx, rep) {
-			return forCaller(rep, mayHaveRun)
+			rep = forCaller(rep, mayHaveRun)
+			if rep.isNotRun() {
+				e.noteRefused(req)
+			}
+			return rep
 		}
 		s.exclude(rep)
 		e.metrics.retries.Add(1)
--- a/pkg/shift/audit/audit_test.go
+++ b/pkg/shift/audit/audit_test.go
@@ -42,6 +42,8 @@
 	slow := append(records(990, 2, "a", "dar", "mwanza"), records(1000, 4, "a", "dar", "mwanza")...)
 	slow = append(slow, records(1010, 4, "a", "dar", "dar")...)
 	require.Equal(t, ret, kinds(Check(slow, 3, w)))
+	full := append(slow, records(1010, 1, "a", "dar", "")...)
+	require.Empty(t, Check(full, 3, w).Violations, "a refused request has not returned")
 	moved := append(records(990, 2, "a", "dar", "mwanza"), records(1000, 4, "a", "dar", "mwanza")...)
 	moved = append(moved, records(1010, 4, "b", "dar", "dar")...)
 	report := Check(moved, 3, w)
--- a/pkg/shift/counter.go
+++ b/pkg/shift/counter.go
@@ -23,6 +23,7 @@
 	first       int64 // first sub-window in which an increase is allowed
 	current     int64
 	pairs       map[pair]*counts
+	refused     map[string]*counts // by home; served nowhere
 }
 
 func slot(bucket int64) int { return int(((bucket % ring) + ring) % ring) }
@@ -66,15 +67,21 @@
 		return
 	}
 	from := max(c.current+1, to-ring+1)
-	for p, n := range c.pairs {
+	clearBuckets(c.pairs, from, to)
+	clearBuckets(c.refused, from, to)
+	c.current = to
+}
+
+// clearBuckets empties the sub-windows from..to and drops empty counts.
+func clearBuckets[K comparable](all map[K]*counts, from, to int64) {
+	for k, n := range all {
 		for b := from; b <= to; b++ {
 			n.committed[slot(b)], n.pending[slot(b)] = 0, 0
 		}
 		if *n == (counts{}) {
-			delete(c.pairs, p)
+			delete(all, k)
 		}
 	}
-	c.current = to
 }
 
 // allowance returns the integer allowance of the window that starts at a
@@ -183,6 +190,11 @@
 		}
 		homes[p.home] = h
 	}
+	for home, n := range c.refused {
+		h := homes[home]
+		h.fall -= n.lower(j, c.current)
+		homes[home] = h
+	}
 	before := max(0, min(homes[add].fall, homes[add].rise))
 	after := max(0, min(homes[add].fall, homes[add].rise+1))
 	if after == before {
--- a/pkg/shift/shift.go
+++ b/pkg/shift/shift.go
@@ -20,10 +20,14 @@
 //     up, are at most the integer allowance of the window. Moving work from
 //     one remote region to another is therefore an increase too.
 //  2. The returns over all homes, added up, are at most that allowance. The
-//     return of a home is the smaller of the fall in its remote count and the
-//     rise in its home-served count, and at least 0. A fall in demand does
-//     not raise the home-served count, so it is no return; neither is growth
-//     that is served at home while the remote count stays.
+//     return of a home is the smaller of the fall in its remote count, less the
+//     requests of that home that were refused in the window, and the rise in
+//     its home-served count, and at least 0. A fall in demand does not raise
+//     the home-served count, so it is no return; neither is growth that is
+//     served at home while the remote count stays. Requests that the remote
+//     region had no room for and that were refused have not returned either:
+//     without this, a full remote region kept its former requests from being
+//     served anywhere although the home region was free again.
 //
 // Reservations that are not committed yet count against the seat on either
 // side of a comparison: as traffic in the current window and as no traffic in
@@ -137,7 +141,7 @@
 	if c != nil && l.now.After(start) {
 		start = l.now
 	}
-	fresh := &counter{window: window, sub: sub, cap: perWindow, pairs: make(map[pair]*counts)}
+	fresh := &counter{window: window, sub: sub, cap: perWindow, pairs: make(map[pair]*counts), refused: make(map[string]*counts)}
 	fresh.first = fresh.bucketOf(start) + SubWindows
 	if c == nil && l.cfg.NoPredecessor {
 		fresh.first = math.MinInt64
@@ -187,6 +191,22 @@
 	return c.busiest(home), true
 }
 
+// Refused counts a request that was served nowhere.
+func (l *Limiter) Refused(now time.Time, key Key, home string) {
+	l.advance(now)
+	c := l.keys[key]
+	if c == nil {
+		return
+	}
+	c.advance(l.now)
+	n := c.refused[home]
+	if n == nil {
+		n = new(counts)
+		c.refused[home] = n
+	}
+	n.committed[slot(c.current)]++
+}
+
 // Commit confirms that the request was accepted in the region.
 func (r *Reservation) Commit() { r.end(true) }
 
--- a/pkg/shift/shift_test.go
+++ b/pkg/shift/shift_test.go
@@ -137,6 +137,28 @@
 	require.Equal(t, 7, send(l, at(23*time.Second), "dar", "mwanza", 9))
 }
 
+// Guards against a home region that is free again but gets nothing, because the
+// remote region has become full and the fall of its count is taken for a return.
+func TestReturnWhileRemoteIsFull(t *testing.T) {
+	l := limiter(5)
+	for i := range 40 { // the home region is down: the remote count grows
+		send(l, at(time.Duration(i)*time.Second), "dar", "mwanza", 10)
+	}
+	refused := 0
+	for i := 40; i < 80; i++ { // home is back, the remote region takes nothing
+		now := at(time.Duration(i) * time.Second)
+		for range 10 {
+			if _, away := l.MustStayAway(now, key, "dar"); away {
+				l.Refused(now, key, "dar")
+				refused++
+				continue
+			}
+			require.Equal(t, 1, send(l, now, "dar", "dar", 1))
+		}
+	}
+	require.Less(t, refused, 40, "of 400 requests; 20 were served away in the last window")
+}
+
 // Guards against an increase that is too large to return: until it could, every
 // request of that home was refused.
 func TestIncreaseCanReturn(t *testing.T) {
@@ -203,6 +225,8 @@
 	}
 	r, ok := d.seats[i].Reserve(now, key, home, region)
 	if !ok {
+		d.seats[i].Refused(now, key, home)
+		d.log = append(d.log, audit.Record{Time: now, Home: home, Incarnation: d.names[i]})
 		return
 	}
 	record := audit.Record{Time: now, Home: home, Region: region, Incarnation: d.names[i]}
