entry: test TLS of the operator listener

One certificate of the test's authority is accepted; another authority and plain http are refused. go test -race -run TLS ./pkg/entry passes.

--- a/pkg/entry/peers_test.go
+++ b/pkg/entry/peers_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/dandelionrack/dandelionrack/pkg/operator"
 	"github.com/dandelionrack/dandelionrack/pkg/peer"
 	"github.com/dandelionrack/dandelionrack/pkg/wire"
 )
@@ -62,12 +63,13 @@
 type authority struct {
 	t    *testing.T
 	dir  string
+	ips  []net.IP // in each certificate
 	key  *ecdsa.PrivateKey
 	cert *x509.Certificate
 }
 
-func newAuthority(t *testing.T) *authority {
-	a := &authority{t: t, dir: t.TempDir()}
+func newAuthority(t *testing.T, ips ...net.IP) *authority {
+	a := &authority{t: t, dir: t.TempDir(), ips: ips}
 	a.cert, a.key = a.issue("ca", nil)
 	return a
 }
@@ -78,7 +80,7 @@
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	require.NoError(a.t, err)
 	template := &x509.Certificate{
-		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name},
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name}, IPAddresses: a.ips,
 		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
 		IsCA: parent == nil, BasicConstraintsValid: true,
 	}
@@ -129,3 +131,26 @@
 		stop()
 	}
 }
+
+// Guards against an operator listener that stays in the clear although TLS is
+// configured, and against a client that accepts any certificate.
+func TestOperatorTLS(t *testing.T) {
+	b := newBed(t)
+	ours := newAuthority(t, net.ParseIP(b.host))
+	ours.issue("entry", ours.cert)
+	file := func(a *authority, name string) string { return filepath.Join(a.dir, name) }
+	b.start(0, func(s *Settings) {
+		s.TLS = &TLSFiles{CertFile: file(ours, "entry.pem"), KeyFile: file(ours, "entry.key")}
+	})
+	addr := b.deployment.EntryInstances[0].OperatorAddr
+	for base, ca := range map[string]string{
+		"https://" + addr:       file(ours, "ca.pem"),
+		"https://" + addr + "/": file(newAuthority(t), "ca.pem"),
+		"http://" + addr:        file(ours, "ca.pem"),
+	} {
+		c, err := operator.NewClient(operator.ClientConfig{BaseURL: base, Token: operatorToken, CAFile: ca})
+		require.NoError(t, err)
+		_, err = c.Status(t.Context())
+		require.Equal(t, base == "https://"+addr, err == nil, "%s: %v", base, err)
+	}
+}
