--- a/pkg/blocks/fetcher_test.go
+++ b/pkg/blocks/fetcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,7 +20,7 @@
 	err    error
 	damage bool
 	asked  int
-	bytes  int
+	bytes  atomic.Int64
 }
 
 func (s *source) Chunk(ctx context.Context, h Hash) ([]byte, error) {
@@ -40,7 +41,7 @@
 		packed = slices.Clone(packed)
 		packed[len(packed)/2] ^= 0xff
 	}
-	s.bytes += len(packed)
+	s.bytes.Add(int64(len(packed)))
 	return packed, nil
 }
 
@@ -107,21 +108,21 @@
 	synctest.Test(t, func(t *testing.T) {
 		peer := &source{chunks: all, delay: time.Millisecond}
 		start := time.Now()
-		done := make(chan struct{})
+		done := make(chan error, 1)
 		go func() {
-			defer close(done)
 			_, _, err := NewFetcher(FetcherConfig{Peers: []Source{peer}, BytesPerSecond: perSecond}).Fetch(t.Context(), x, nil)
-			require.NoError(t, err)
+			done <- err
 		}()
 		for running := true; running; {
 			select {
-			case <-done:
+			case err := <-done:
+				require.NoError(t, err)
 				running = false
 			case <-time.After(time.Second):
 			}
-			require.LessOrEqual(t, float64(peer.bytes), perSecond*time.Since(start).Seconds()+float64(largest))
+			require.LessOrEqual(t, float64(peer.bytes.Load()), perSecond*time.Since(start).Seconds()+float64(largest))
 		}
-		require.Equal(t, total, peer.bytes)
+		require.Equal(t, int64(total), peer.bytes.Load())
 		// The rate is used, not only kept: a restart must not take longer than
 		// its bytes need, plus the delay of each answer.
 		limit := float64(total)/perSecond + float64(len(x.Chunks))*0.002
