Poll a version row in place of the whole configuration document

The version is now written beside it in the same transaction and polled alone. TestLoadNewerReadsOnlyNewDocuments guards it.

--- a/pkg/configstore/store.go
+++ b/pkg/configstore/store.go
@@ -1,9 +1,9 @@
 // Package configstore keeps the configuration document in the platform's
 // table service.
 //
-// Rows: config/current holds the newest document, config/v/<n> each accepted
-// version, and config/change/<id> the version that a change id was accepted
-// as. All three are written in one transaction.
+// Rows: config/current holds the newest document, config/version its version
+// alone, config/v/<n> each accepted version, and config/change/<id> the version
+// that a change id was accepted as. All are written in one transaction.
 package configstore
 
 import (
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -21,6 +22,7 @@
 
 const (
 	currentKey    = "config/current"
+	latestKey     = "config/version"
 	versionPrefix = "config/v/"
 	changePrefix  = "config/change/"
 
@@ -55,6 +57,25 @@
 	return config.Decode(row.Value)
 }
 
+// LoadNewer returns the current document if its version is above have, and nil
+// otherwise. It reads the document only if the version row says so: every entry
+// instance polls each second, and decoding a large document each time was most
+// of its CPU time.
+func (s *Store) LoadNewer(ctx context.Context, have uint64) (*config.Document, error) {
+	row, err := s.table.Get(ctx, latestKey)
+	if err != nil {
+		return nil, errors.Wrap(err, "load configuration version")
+	}
+	latest, err := strconv.ParseUint(string(row.Value), 10, 64)
+	if err != nil {
+		return nil, errors.Wrapf(err, "row %s", latestKey)
+	}
+	if latest <= have {
+		return nil, nil
+	}
+	return s.Load(ctx)
+}
+
 // History returns the newest accepted changes, newest first.
 func (s *Store) History(ctx context.Context, limit int) ([]config.HistoryEntry, error) {
 	doc, err := s.Load(ctx)
--- a/pkg/configstore/store_test.go
+++ b/pkg/configstore/store_test.go
@@ -259,3 +259,28 @@
 }
 
 func (d down) Commit(context.Context, platform.Tx) error { return d.err }
+
+// keyLog records the keys that are read.
+type keyLog struct {
+	platform.Table
+	keys []string
+}
+
+func (l *keyLog) Get(ctx context.Context, key string) (platform.Row, error) {
+	l.keys = append(l.keys, key)
+	return l.Table.Get(ctx, key)
+}
+
+// Guards against polls that read the whole document although nothing changed.
+func TestLoadNewerReadsOnlyNewDocuments(t *testing.T) {
+	log := &keyLog{Table: newTable(1, false)}
+	store := newStore(t, log)
+	log.keys = nil
+	doc, err := store.LoadNewer(context.Background(), 1)
+	require.NoError(t, err)
+	require.Nil(t, doc)
+	require.Equal(t, []string{"config/version"}, log.keys)
+	doc, err = store.LoadNewer(context.Background(), 0)
+	require.NoError(t, err)
+	require.Equal(t, uint64(1), doc.Version)
+}
--- a/pkg/configstore/submit.go
+++ b/pkg/configstore/submit.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"time"
 
@@ -141,6 +142,7 @@
 	}
 	tx.Puts = []platform.Put{
 		{Key: currentKey, Value: data},
+		{Key: latestKey, Value: strconv.AppendUint(nil, next.Version, 10)},
 		{Key: versionKey(next.Version), Value: data, TTL: HistoryRetention},
 		{Key: changeKey(s.change.ID), Value: accepted, TTL: HistoryRetention},
 	}
--- a/pkg/entry/configsync.go
+++ b/pkg/entry/configsync.go
@@ -123,7 +123,7 @@
 
 // loadConfig reads the stored document, or returns nil.
 func (e *Entry) loadConfig(ctx context.Context) *config.Document {
-	doc, err := e.store.Load(ctx)
+	doc, err := e.store.LoadNewer(ctx, e.configVersion())
 	if err != nil {
 		e.metrics.storeErrors.Add(1)
 		e.log.Debug("configuration could not be read from the table service", "error", err)
