entry: stay not ready until peers are heard; keep a server without an alternative

A replaced entry instance answered as ready once it had the configuration. It had no slots of its own (hold-off) and knew of none elsewhere, so it refused with 'overload' for its first 0.2 s. It now waits for the first heartbeat of every peer, at most 1 s; callers get not_ready and use their next address. Without a predecessor own slots are usable at once, so nothing waits then.

Taking an unreachable server out of use broke TestNoBreakerAfterRefusedConnections: the only server of a service was not asked for up to 500 ms after its return. A server without an alternative now stays in use.

--- a/pkg/entry/callers.go
+++ b/pkg/entry/callers.go
@@ -200,6 +200,9 @@
 	if v == nil {
 		return nil, refusal(ReasonNotReady, "no configuration known yet")
 	}
+	if !e.leaving.Load() && !e.configured() {
+		return nil, refusal(ReasonNotReady, "this entry instance has no seat yet, or has not heard from its peers")
+	}
 	contract, ok := v.contractOf(bearerToken(r))
 	if !ok {
 		return nil, refusal(ReasonUnauthorized, "bearer token belongs to no contract")
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -76,6 +76,7 @@
 	operators *httpserver.Server
 
 	leaving  atomic.Bool
+	met      atomic.Bool // see metPeers
 	inFlight sync.WaitGroup
 }
 
@@ -337,7 +338,32 @@
 		return false
 	}
 	_, ok := v.entries[e.settings.ID]
-	return ok
+	return ok && e.metPeers(v)
+}
+
+// meetingTime bounds the wait for the first heartbeats of peers after a start.
+// Dead or cut peers do not delay it further.
+const meetingTime = time.Second
+
+// metPeers reports whether every peer was heard from since the start, or
+// meetingTime has passed. Before, this instance has no slots of its own (the
+// hold-off) and knows of none elsewhere, so it would refuse requests that its
+// peers can serve. Without a predecessor its own slots are usable at once.
+func (e *Entry) metPeers(v *view) bool {
+	if e.settings.NoPredecessor || e.met.Load() {
+		return true
+	}
+	if time.Since(e.started) < meetingTime {
+		e.membersMu.Lock()
+		defer e.membersMu.Unlock()
+		for id := range v.entries {
+			if id != e.settings.ID && e.members.Peer(id).LastHeard.IsZero() {
+				return false
+			}
+		}
+	}
+	e.met.Store(true)
+	return true
 }
 
 // serve runs a caller's request to its end.
--- a/pkg/entry/servers.go
+++ b/pkg/entry/servers.go
@@ -256,6 +256,9 @@
 	if v == nil || v.servers[server].FailureDomain != e.settings.FailureDomain {
 		return
 	}
+	if !reachable && !v.hasAlternative(server) {
+		return
+	}
 	e.leavingMu.Lock()
 	changed := e.unreachable[server] == reachable
 	if reachable {
@@ -270,6 +273,18 @@
 	}
 }
 
+// hasAlternative reports whether other servers offer what a server offers. One
+// without an alternative stays in use, so that the first request after its
+// return reaches it.
+func (v *view) hasAlternative(server string) bool {
+	for _, service := range v.servers[server].Services {
+		if len(v.byService[service]) < 2 {
+			return false
+		}
+	}
+	return true
+}
+
 // handleReport takes a backend server's own report. Reports may mislead, so
 // only "draining" has an effect; slots are counted here.
 func (e *Entry) handleReport(server string, r backend.Report) {
