--- a/test/scenarios/bed_test.go
+++ b/test/scenarios/bed_test.go
@@ -73,7 +73,7 @@
 
 // cmdEntry acts on an entry instance:
 // entry kill|start|pause|resume ID, or entry stop ID [within=30s] [as=NAME &]
-func cmdEntry(s *scenario, ts *testscript.TestScript, a *arguments) error {
+func cmdEntry(s *scenario, _ *testscript.TestScript, a *arguments) error {
 	verb, id := a.word("verb"), a.word("entry instance")
 	within := a.duration("within", 30*time.Second)
 	name := a.text("as", "stop of "+id)
@@ -94,10 +94,7 @@
 		return s.bed.Signal(id, syscall.SIGCONT)
 	case "stop":
 		return s.start(name, a.background, func() ([]loadgen.Result, error) {
-			started := time.Now()
-			err := s.stop(id, within)
-			ts.Logf("stop of %s took %s", id, time.Since(started).Round(time.Millisecond))
-			return nil, err
+			return nil, s.stop(id, within)
 		})
 	default:
 		return errors.Errorf("unknown verb %q", verb)
--- a/test/scenarios/state_test.go
+++ b/test/scenarios/state_test.go
@@ -36,6 +36,8 @@
 // job is a call, a load or a command that may run in the background.
 type job struct {
 	done    chan struct{}
+	started time.Time
+	took    time.Duration
 	results []loadgen.Result
 	err     error
 }
@@ -153,7 +155,7 @@
 
 // start runs a job, in the background if the command asked for it.
 func (s *scenario) start(name string, background bool, work func() ([]loadgen.Result, error)) error {
-	j := &job{done: make(chan struct{})}
+	j := &job{done: make(chan struct{}), started: time.Now()}
 	s.mu.Lock()
 	_, taken := s.jobs[name]
 	s.jobs[name] = j
@@ -164,6 +166,7 @@
 	go func() {
 		defer close(j.done)
 		j.results, j.err = work()
+		j.took = time.Since(j.started)
 	}()
 	if background {
 		return nil
@@ -202,7 +205,7 @@
 		if j.err != nil {
 			return errors.Wrap(j.err, name)
 		}
-		ts.Logf("%s: %s", name, describe(j.results))
+		ts.Logf("%s took %s: %s", name, j.took.Round(time.Millisecond), describe(j.results))
 	}
 	return nil
 }
