claim: seal an incarnation at the end of a graceful stop

Cause: an entry-issued key that was never sent, or was refused as not run, ended as unknown at other entry instances after its owner had stopped.

Change: after Flush the owner writes the row incarnation/<entry>/<number>, which says that every key it dispatched has a row. Seal refuses new attempts first and fails while a claim is open or could not be stored. Lookup of an entry-issued key of a sealed incarnation without a row answers not run for the key (key_expired, with a fresh next_key). Reads may lag, so the answer rests on inserting a not_run row on the condition that no row exists; this write keeps to the write budget. Keys past the age limit stay unknown, because their rows may have expired before the seal.

--- a/pkg/claim/decision.go
+++ b/pkg/claim/decision.go
@@ -150,6 +150,8 @@
 	Reason  string
 	Detail  string
 	PassTo  Incarnation // of PassTo
+	// NeverRun is set with NotRun when no attempt of the key ran or ever will.
+	NeverRun bool
 	// Fingerprint is set by Lookup when a row was found. The caller compares
 	// it before it hands out a recorded result.
 	Fingerprint Fingerprint
--- a/pkg/claim/doc.go
+++ b/pkg/claim/doc.go
@@ -14,6 +14,8 @@
 //     memory was therefore never dispatched and may be claimed again.
 //   - An entry-issued key is dispatched only by its owner, which remembers every
 //     finished key until the age limit refuses the key.
+//     Another entry answers "not run" for such a key only if the owner sealed
+//     itself after every dispatched key had a row, and the key has none.
 //   - A ticket ends once, and a ticket that has ended cannot be dispatched.
 //
 // An attempt that arrives late, for instance a delayed duplicate of an earlier
--- a/pkg/claim/lookup.go
+++ b/pkg/claim/lookup.go
@@ -21,8 +21,8 @@
 var ErrScanLimit = errors.New("claim: scan limit reached")
 
 // Lookup reads the claim of a key whose owner cannot be reached. It never
-// answers Run. An absent row and a claimed one are Unknown, because the owner
-// may have dispatched the request.
+// answers Run. A claimed row is Unknown, because the owner may have dispatched
+// the request, and so is an absent row, unless the owner is sealed.
 func (m *Manager) Lookup(ctx context.Context, id ID) Decision {
 	key, err := ParseKey(id.Key)
 	if err != nil {
@@ -34,27 +34,33 @@
 	}
 	stored, err := m.cfg.Table.Get(ctx, id.rowKey())
 	if errors.Is(err, platform.ErrNotFound) {
-		return unknownDecision("no claim is recorded")
+		return m.lookupSealed(ctx, id, key)
 	}
 	if err != nil {
 		return unknownDecision("the claim cannot be read: " + err.Error())
 	}
+	return storedDecision(stored, key)
+}
+
+func storedDecision(stored platform.Row, key Key) Decision {
 	r, err := decodeRow(stored.Value)
 	if err != nil {
 		return unknownDecision(err.Error())
 	}
-	return lookupDecision(r)
+	return lookupDecision(r, key)
 }
 
 func unknownDecision(detail string) Decision {
 	return Decision{Verdict: Unknown, Detail: detail}
 }
 
-func lookupDecision(r *row) Decision {
+func lookupDecision(r *row, key Key) Decision {
 	var d Decision
 	switch r.State {
 	case stateNotRun:
 		d = refuse(r.Reason, r.Detail)
+		// A not_run row of an entry-issued key exists only after a seal.
+		d.NeverRun = key.Issued
 	case stateClaimed:
 		d = unknownDecision("claimed by " + r.Entry + " without a result")
 	default:
--- a/pkg/claim/property_test.go
+++ b/pkg/claim/property_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,6 +40,7 @@
 	flying   [][]*group    // by entry, in no order
 	delayed  []platform.Tx // lost writes that may still land
 	keys     []Key
+	old      []Key      // entry-issued keys of earlier incarnations
 	attempts []*attempt // with the right to a ticket
 	attached []*attempt
 	runs     map[ID][]*run
@@ -60,12 +62,16 @@
 func (w *world) startEntry(i int) {
 	w.starts++
 	w.entries[i] = NewManager(Config{
-		ReadBudget: 1e9,
-		Self:       Incarnation{Entry: fmt.Sprint("entry-", i), Number: w.starts},
-		Table:      w.table,
-		Now:        func() time.Time { return w.now },
-		MaxGroup:   2,
+		ReadBudget:  1e9,
+		WriteBudget: 1e9,
+		Self:        Incarnation{Entry: fmt.Sprint("entry-", i), Number: w.starts},
+		Table:       w.table,
+		Now:         func() time.Time { return w.now },
+		MaxGroup:    2,
 	})
+	if w.keys[2+i].Raw != "" {
+		w.old = append(w.old, w.keys[2+i])
+	}
 	w.keys[2+i] = issuedKeyOf(w.entries[i], w.now)
 }
 
@@ -90,6 +96,9 @@
 	i := w.pick()
 	m := w.entries[i]
 	key := rapid.SampledFrom(w.keys).Draw(w.t, "key")
+	if n := len(w.old); n > 0 && rapid.IntRange(0, 3).Draw(w.t, "old") == 0 {
+		key = w.old[n-1]
+	}
 	id := idOf(key)
 	w.check(id, m.Lookup(context.Background(), id))
 	if key.Issued && key.Owner != m.cfg.Self {
@@ -173,7 +182,10 @@
 }
 
 func (w *world) crash() {
-	i := w.pick()
+	w.kill(w.pick())
+}
+
+func (w *world) kill(i int) {
 	for _, g := range w.flying[i] {
 		w.delayed = append(w.delayed, g.tx)
 	}
@@ -184,6 +196,16 @@
 	w.startEntry(i)
 }
 
+// stop ends an entry gracefully, and replaces it. The seal fails while a
+// claim is open.
+func (w *world) stop() {
+	i := w.pick()
+	if w.entries[i].Seal(context.Background()) == nil {
+		require.Empty(w.t, w.flying[i])
+	}
+	w.kill(i)
+}
+
 // caller lets one waiting caller act: give up, dispatch or end its ticket.
 func (w *world) caller() {
 	if len(w.attempts) == 0 {
@@ -282,6 +304,9 @@
 // entry has the attempt open; it would become a false "unknown" later.
 func (w *world) noLeftovers() {
 	for key, stored := range w.table.rows {
+		if strings.HasPrefix(key, sealPrefix) {
+			continue
+		}
 		r, err := decodeRow(stored.Value)
 		require.NoError(w.t, err)
 		id, err := parseRowKey(key)
@@ -307,7 +332,7 @@
 func (w *world) steps() []func() {
 	return []func(){
 		w.caller, w.collect, w.settle, w.begin, w.caller, w.collect, w.settle, w.begin,
-		w.caller, w.collect, w.settle, w.renewKey, w.landDelayed, w.crash, w.pause, w.collect,
+		w.caller, w.collect, w.settle, w.renewKey, w.landDelayed, w.crash, w.pause, w.stop, w.collect,
 	}
 }
 
--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -74,6 +74,10 @@
 		if rep.reason == ReasonStoreUnavailable && !req.key.Issued {
 			rep.nextKey = claim.NewIssuedKey(e.self, time.Now())
 		}
+		if d.NeverRun {
+			rep.appliesTo = AppliesToKey
+			rep.nextKey = claim.NewIssuedKey(e.self, time.Now())
+		}
 		return rep
 	default:
 		return unknownOutcome(Reason(d.Reason), "%s", d.Detail)
--- a/pkg/entry/stop.go
+++ b/pkg/entry/stop.go
@@ -50,6 +50,8 @@
 	defer cancel()
 	if err := e.claims.Flush(ctx); err != nil {
 		e.log.Error("claims could not be written; their keys will answer as unknown", "error", err)
+	} else if err := e.claims.Seal(ctx); err != nil {
+		e.log.Warn("the incarnation could not be sealed; its unused keys will answer as unknown", "error", err)
 	}
 	if err := e.archiver.Flush(ctx); err != nil {
 		e.log.Warn("spans could not be archived", "error", err)
