--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -78,6 +78,10 @@
 		if rep.reason == ReasonStoreUnavailable && !req.key.Issued && ready {
 			rep.nextKey = claim.NewIssuedKey(e.self, time.Now())
 		}
+		if d.NeverRun {
+			rep.appliesTo = AppliesToKey
+			rep.nextKey = claim.NewIssuedKey(e.self, time.Now())
+		}
 		return rep
 	default:
 		return unknownOutcome(unknownReason(d), "%s", d.Detail)
