--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -2,12 +2,12 @@
 // the caller passes the ages of heartbeats and a source of randomness.
 //
 // Order: this entry's own share, other seats of the same failure domain, other
-// failure domains of the same region, other regions by delay. Peers whose
-// heartbeat is older than StaleAfter follow after all of these in the same
-// order. Within a group, peers with more free slots tend to come first: each
-// place goes to the better of two peers drawn by weight. Entries that send at
-// the same time therefore do not all choose the peer that was best in the
-// latest heartbeat.
+// failure domains of the same region, at most Input.AskFull seats of the own
+// domain that report no free slot, other regions by delay. Peers whose heartbeat
+// is older than StaleAfter follow after all of these in the same order. Within a
+// group, peers with more free slots tend to come first: each place goes to the
+// better of two peers drawn by weight. Entries that send at the same time
+// therefore do not all choose the peer that was best in the latest heartbeat.
 package routing
 
 import (
