--- a/pkg/entry/configsync.go
+++ b/pkg/entry/configsync.go
@@ -50,6 +50,10 @@
 	// Last, so that no request finds a view whose servers and limits are not
 	// known yet.
 	e.view.Store(v)
+	select {
+	case e.serversChanged <- struct{}{}:
+	default:
+	}
 	e.metrics.configVersion.Set(int64(doc.Version))
 	return nil
 }
@@ -119,7 +123,7 @@
 
 // loadConfig reads the stored document, or returns nil.
 func (e *Entry) loadConfig(ctx context.Context) *config.Document {
-	doc, err := e.store.Load(ctx)
+	doc, err := e.store.LoadNewer(ctx, e.configVersion())
 	if err != nil {
 		e.metrics.storeErrors.Add(1)
 		e.log.Debug("configuration could not be read from the table service", "error", err)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -50,6 +50,9 @@
 	backends *backend.Pool
 	poller   *backend.Poller
 	buffers  byteBudget
+	orders   orderCache
+	// serversChanged wakes runWarm after a configuration change.
+	serversChanged chan struct{}
 
 	membersMu    sync.Mutex
 	members      *membership.Members
@@ -60,6 +63,7 @@
 	leavingMu       sync.Mutex
 	leavingPlatform map[string]bool
 	leavingHealth   map[string]bool
+	unreachable     map[string]bool
 
 	confirmMu      sync.Mutex
 	confirmed      map[string]bool
@@ -73,6 +77,7 @@
 	operators *httpserver.Server
 
 	leaving  atomic.Bool
+	met      atomic.Bool // see metPeers
 	inFlight sync.WaitGroup
 }
 
@@ -103,7 +108,9 @@
 		members:         membership.New(membership.Config{Self: settings.ID}),
 		leavingPlatform: map[string]bool{},
 		leavingHealth:   map[string]bool{},
+		unreachable:     map[string]bool{},
 		confirmed:       map[string]bool{},
+		serversChanged:  make(chan struct{}, 1),
 		burn:            burn.New(burn.Config{}),
 		spans:           trace.NewRing(trace.RingConfig{}),
 	}
@@ -120,10 +127,7 @@
 	if err := e.buildPeers(); err != nil {
 		return nil, err
 	}
-	e.metrics.publish("claims", func() any { return e.claims.Stats() })
-	e.metrics.publish("archive", func() any { return e.archiver.Stats() })
-	e.metrics.publish("peer_sessions", func() any { return e.peerServer.Stats() })
-	e.metrics.publish("buffered_bytes", func() any { return e.buffers.used.Load() })
+	e.publishState()
 	return e, e.buildListeners()
 }
 
@@ -209,6 +213,7 @@
 		e.runConfigPoll,
 		e.runHeartbeats,
 		e.runInstanceList,
+		e.runWarm,
 		e.archiver.Run,
 	} {
 		group.Go(func() error {
@@ -289,6 +294,11 @@
 	return 0
 }
 
+// liveFor is how long after its last heartbeat an incarnation may still settle
+// its claims by itself. Later they are listed as unresolved; a process behind a
+// cut link is not provably gone.
+const liveFor = 2 * time.Second
+
 // incarnationLive reports whether an incarnation is known to be running.
 func (e *Entry) incarnationLive(i claim.Incarnation) bool {
 	if i == e.self {
@@ -297,7 +307,7 @@
 	e.membersMu.Lock()
 	defer e.membersMu.Unlock()
 	st := e.members.Peer(i.Entry)
-	return st.Incarnation == i.Number && st.State != membership.StateGone
+	return st.Incarnation == i.Number && time.Since(st.LastHeard) < liveFor
 }
 
 func (e *Entry) configuredEntries() int {
@@ -326,7 +336,32 @@
 		return false
 	}
 	_, ok := v.entries[e.settings.ID]
-	return ok
+	return ok && e.metPeers(v)
+}
+
+// meetingTime bounds the wait for the first heartbeats of peers after a start.
+// Dead or cut peers do not delay it further.
+const meetingTime = time.Second
+
+// metPeers reports whether every peer was heard from since the start, or
+// meetingTime has passed. Before, this instance has no slots of its own (the
+// hold-off) and knows of none elsewhere, so it would refuse requests that its
+// peers can serve. Without a predecessor its own slots are usable at once.
+func (e *Entry) metPeers(v *view) bool {
+	if e.settings.NoPredecessor || e.met.Load() {
+		return true
+	}
+	if time.Since(e.started) < meetingTime {
+		e.membersMu.Lock()
+		defer e.membersMu.Unlock()
+		for id := range v.entries {
+			if id != e.settings.ID && e.members.Peer(id).LastHeard.IsZero() {
+				return false
+			}
+		}
+	}
+	e.met.Store(true)
+	return true
 }
 
 // serve runs a caller's request to its end.
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -68,13 +68,18 @@
 	case admission.Refused:
 		return nil, Reason(decision.Reason)
 	}
-	patience := time.NewTimer(r.maxWait)
+	left := time.Until(r.deadline)
+	why := ReasonOverload
+	if r.maxWait >= left {
+		why = ReasonDeadline
+	}
+	patience := time.NewTimer(min(r.maxWait, left))
 	defer patience.Stop()
 	select {
 	case ev := <-wait:
 		return g.granted(id, ev)
 	case <-patience.C:
-		return g.abandon(id, wait, ReasonOverload)
+		return g.abandon(id, wait, why)
 	case <-ctx.Done():
 		return g.abandon(id, wait, ReasonDeadline)
 	}
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -21,8 +21,9 @@
 // backend server answers, but would stay held until the deadline after a
 // cancellation.
 func (s *steering) tryHedged(ctx context.Context) reply {
+	s.attempt++
 	after := s.req.service.HedgeAfter.Std()
-	if after <= 0 || !s.req.service.Idempotent || s.attempt > 0 {
+	if after <= 0 || !s.req.service.Idempotent || s.attempt > 1 {
 		return s.try(ctx)
 	}
 	race := s.e.newRace(ctx, s.req.deadline)
@@ -42,7 +43,11 @@
 		runners++
 		race.start(hedge.tryFree)
 	}
-	return s.firstAnswer(ctx, race, runners)
+	rep := s.firstAnswer(ctx, race, runners)
+	if !rep.answered() {
+		s.attempt += uint32(runners) - 1
+	}
+	return rep
 }
 
 // hedge prepares a second attempt somewhere else, or returns nil.
@@ -51,7 +56,7 @@
 	if at == nil {
 		return nil
 	}
-	h := &steering{e: s.e, req: s.req, attempt: s.attempt}
+	h := &steering{e: s.e, req: s.req, attempt: s.attempt + 1}
 	h.excludeServers = slices.Clone(s.excludeServers)
 	h.excludeEntries = slices.Clone(s.excludeEntries)
 	switch {
@@ -65,12 +70,12 @@
 	if near, far, _ := h.plan(); len(near)+len(far) == 0 || !s.e.allowRetry(s.req) {
 		return nil
 	}
-	s.attempt++
 	s.e.metrics.hedges.Add(1)
 	return h
 }
 
-// firstAnswer returns the first answer, or the last failure.
+// firstAnswer returns the first answer, or a failure. An attempt that may have
+// run counts more than one that was refused.
 func (s *steering) firstAnswer(ctx context.Context, race *race, runners int) reply {
 	var last reply
 	for pending := runners; pending > 0; pending-- {
--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"github.com/dandelionrack/dandelionrack/pkg/admission"
+	"github.com/dandelionrack/dandelionrack/pkg/budget"
 	"github.com/dandelionrack/dandelionrack/pkg/burn"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/operator"
@@ -37,14 +39,72 @@
 // and are open, as monitoring expects.
 func (e *Entry) handleVars(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
-	servers, _ := json.Marshal(e.serverStatus())
-	_, _ = fmt.Fprintf(w, "{\n\"dandelionrack\": %s,\n\"servers\": %s", e.metrics.root.String(), servers)
+	_, _ = fmt.Fprintf(w, "{\n\"dandelionrack\": %s", e.metrics.root.String())
 	expvar.Do(func(kv expvar.KeyValue) {
 		_, _ = fmt.Fprintf(w, ",\n%q: %s", kv.Key, kv.Value)
 	})
 	_, _ = fmt.Fprint(w, "\n}\n")
 }
 
+// publishState adds what is computed when the counters are read.
+func (e *Entry) publishState() {
+	for name, value := range map[string]func() any{
+		"claims":               func() any { return e.claims.Stats() },
+		"archive":              func() any { return e.archiver.Stats() },
+		"peer_sessions":        func() any { return e.peerServer.Stats() },
+		"buffered_bytes":       func() any { return e.buffers.used.Load() },
+		"servers":              func() any { return e.serverStatus() },
+		"queues":               func() any { return e.queueLengths() },
+		"link_bytes_available": func() any { return e.linkBytes() },
+	} {
+		e.metrics.publish(name, value)
+	}
+}
+
+// queueLengths counts the queued requests by service.
+func (e *Entry) queueLengths() map[string]int {
+	out := map[string]int{}
+	v := e.currentView()
+	if v == nil {
+		return out
+	}
+	e.gate.read(func(ctl *admission.Controller, _ time.Time) {
+		for service := range v.byService {
+			out[service] = ctl.QueueLength(service)
+		}
+	})
+	return out
+}
+
+// linkBytes returns the bytes that may be sent to each other region now.
+func (e *Entry) linkBytes() map[string]float64 {
+	out := map[string]float64{}
+	v := e.currentView()
+	if v == nil {
+		return out
+	}
+	e.limits.mu.Lock()
+	defer e.limits.mu.Unlock()
+	for _, region := range v.doc.Deployment.Regions {
+		if region.Name != v.region {
+			pair := budget.LinkPair{From: v.region, To: region.Name}
+			out[region.Name] = e.limits.links.Available(time.Now(), pair)
+		}
+	}
+	return out
+}
+
+// freeSlots counts the free slots of this seat by service.
+func (e *Entry) freeSlots(v *view) map[string]int {
+	out := map[string]int{}
+	e.gate.read(func(ctl *admission.Controller, now time.Time) {
+		for service := range v.byService {
+			out[service] = ctl.Free(now, service)
+		}
+	})
+	return out
+}
+
 func (e *Entry) serverStatus() []admission.ServerStatus {
 	var out []admission.ServerStatus
 	e.gate.read(func(ctl *admission.Controller, now time.Time) { out = ctl.Snapshot(now) })
@@ -136,7 +196,7 @@
 		return
 	}
 	out.InFlight[entry] = st.InFlight + st.Held
-	out.Draining = out.Draining || st.Leaving
+	out.Draining = out.Draining || isLeaving(st)
 	if out.Since.IsZero() || (!st.LeavingSince.IsZero() && st.LeavingSince.Before(out.Since)) {
 		out.Since = st.LeavingSince
 	}
@@ -145,6 +205,12 @@
 	}
 }
 
+// isLeaving reports whether a server leaves for another reason than being
+// unreachable.
+func isLeaving(st admission.ServerStatus) bool {
+	return slices.ContainsFunc(st.Reasons, func(r string) bool { return r != takesNoConnections })
+}
+
 func (e *Entry) statusOf(server string) (admission.ServerStatus, bool) {
 	for _, st := range e.serverStatus() {
 		if st.ID == server {
@@ -179,31 +245,11 @@
 	if err != nil {
 		missing = append(missing, "archive: "+err.Error())
 	}
-	spans = trace.Sort(append(spans, archived...))
-	out := operator.TraceReport{RequestID: requestID, Incomplete: missing}
-	for _, s := range spans {
-		out.Spans = append(out.Spans, operatorSpan(s))
-	}
-	return out, nil
-}
-
-func operatorSpan(s trace.Span) operator.Span {
-	return operator.Span{
-		At:              s.At,
-		Entry:           s.Entry,
-		FailureDomain:   s.FailureDomain,
-		Kind:            s.Kind,
-		Attempt:         s.Attempt,
-		Customer:        s.Customer,
-		Service:         s.Service,
-		ContractVersion: s.ContractVersion,
-		ConfigVersion:   s.ConfigVersion,
-		BackendServer:   s.BackendServer,
-		Peer:            s.Peer,
-		Reason:          s.Reason,
-		Outcome:         s.Outcome,
-		DurationUS:      s.DurationUS,
-	}
+	return operator.TraceReport{
+		RequestID:  requestID,
+		Spans:      trace.Sort(append(spans, archived...)),
+		Incomplete: missing,
+	}, nil
 }
 
 func (e *Entry) handleTraceQuery(q *wire.TraceQuery) *wire.Response {
@@ -228,7 +274,7 @@
 	if doc == nil {
 		return operator.BurnReport{}, errors.New("no configuration known yet")
 	}
-	return burnReport(burn.Report(burn.Merge(snapshots...), doc), doc, missing), nil
+	return operator.BurnReport{Result: burn.Report(burn.Merge(snapshots...), doc), Unreachable: missing}, nil
 }
 
 func (e *Entry) handleBurnQuery() *wire.Response {
@@ -239,34 +285,6 @@
 	return &wire.Response{Reply: &wire.Response_Burn{Burn: &wire.BurnReply{Counts: data}}}
 }
 
-func burnReport(r burn.Result, doc *config.Document, missing []string) operator.BurnReport {
-	out := operator.BurnReport{Unreachable: missing}
-	for _, s := range r.Services {
-		row := operator.ServiceBurn{Customer: s.Customer, Service: s.Service}
-		if contract, ok := doc.Contracts[s.Customer]; ok {
-			if svc, ok := contract.FindService(s.Service); ok {
-				row.Objective = svc.Objective
-			}
-		}
-		for _, w := range s.Windows {
-			row.Windows = append(row.Windows, windowBurn(w))
-		}
-		out.Services = append(out.Services, row)
-	}
-	return out
-}
-
-func windowBurn(w burn.WindowBurn) operator.WindowBurn {
-	out := operator.WindowBurn{Total: float64(w.Good + w.Bad), Bad: float64(w.Bad)}
-	if length, err := time.ParseDuration(string(w.Window)); err == nil {
-		out.Window = config.Duration(length)
-	}
-	if w.BurnRate != nil {
-		out.Burn = *w.BurnRate
-	}
-	return out
-}
-
 // Routes implements operator.Backend.
 func (e *Entry) Routes(context.Context) (operator.RoutesReport, error) {
 	v := e.currentView()
@@ -289,6 +307,7 @@
 	for i := range out.Entries {
 		if out.Entries[i].ID == e.settings.ID {
 			out.Entries[i].State = string(stateFromWire(e.state()))
+			out.Entries[i].FreeSlots = e.freeSlots(v)
 		}
 	}
 	for _, st := range e.serverStatus() {
@@ -300,8 +319,10 @@
 func serverRoute(v *view, st admission.ServerStatus) operator.ServerRoute {
 	s := v.servers[st.ID]
 	state := "in use"
-	if st.Leaving {
+	if isLeaving(st) {
 		state = "leaving"
+	} else if st.Leaving {
+		state = takesNoConnections
 	} else if st.Usable < st.Share {
 		state = "starting"
 	}
@@ -346,7 +367,6 @@
 		ConfigVersion: e.configVersion(),
 		StartedAt:     e.started,
 		StoreOK:       !errors.Is(err, platform.ErrUnavailable) && err == nil,
-		FreeSlots:     map[string]int{},
 	}
 	e.membersMu.Lock()
 	for _, st := range e.members.Peers(time.Now()) {
@@ -355,11 +375,7 @@
 	e.membersMu.Unlock()
 	if v := e.currentView(); v != nil {
 		out.Region = v.region
-		e.gate.read(func(ctl *admission.Controller, now time.Time) {
-			for service := range v.byService {
-				out.FreeSlots[service] = ctl.Free(now, service)
-			}
-		})
+		out.FreeSlots = e.freeSlots(v)
 	}
 	return out, nil
 }
