Serve at-most-once requests while the platform is slow; name the shift cap

Cause 1: with a platform that takes 2 s for each call every caller-made key was refused until it recovered: the platform client ended each call after 2 s, and claims gave up a write after 2 s. Now 4 s and 3 s; the dispatch limit of 5 s still holds.

Cause 2: a request of a lost region ended in the queue at home and was refused as overload although the shift cap kept it there.

--- a/pkg/claim/manager.go
+++ b/pkg/claim/manager.go
@@ -13,13 +13,15 @@
 
 // Defaults of Config.
 const (
-	defaultWriteBudget   = 200.0 // transactions/s over all entries
-	defaultReadBudget    = 500.0 // reads/s over all entries, a quarter of the store's
-	defaultMaxPending    = 8192
-	defaultMaxIssued     = 100_000
-	defaultMaxBytes      = 32 << 20
-	defaultMaxGroup      = 256
-	defaultCommitTimeout = 2 * time.Second
+	defaultWriteBudget = 200.0 // transactions/s over all entries
+	defaultReadBudget  = 500.0 // reads/s over all entries, a quarter of the store's
+	defaultMaxPending  = 8192
+	defaultMaxIssued   = 100_000
+	defaultMaxBytes    = 32 << 20
+	defaultMaxGroup    = 256
+	// defaultCommitTimeout leaves time for the dispatch within the 5 s after a
+	// claim write was sent, and lets a store that is slow by 2 s still serve.
+	defaultCommitTimeout = 3 * time.Second
 )
 
 // Config sets up a Manager. Zero limits take their defaults.
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -81,6 +81,11 @@
 	inFlight sync.WaitGroup
 }
 
+// platformTimeout bounds one call to the platform. It is longer than the commit
+// timeout of claims, so that a slow store is waited for as long as that allows;
+// other callers bound their calls themselves.
+const platformTimeout = 4 * time.Second
+
 // newIncarnationNumber orders the runs of an entry instance: the start time in
 // milliseconds, then random bits for starts within the same millisecond.
 func newIncarnationNumber(now time.Time) uint64 {
@@ -101,7 +106,7 @@
 		started:         now,
 		log:             logger.With("entry", settings.ID),
 		metrics:         newMetrics(),
-		platform:        platform.NewClient(platform.ClientConfig{BaseURL: settings.PlatformURL, Timeout: configCallTimeout}),
+		platform:        platform.NewClient(platform.ClientConfig{BaseURL: settings.PlatformURL, Timeout: platformTimeout}),
 		holder:          &config.Holder{},
 		backends:        backend.NewPool(backend.Config{}),
 		buffers:         byteBudget{limit: settings.MaxBufferedBytes},
--- a/pkg/entry/steer.go
+++ b/pkg/entry/steer.go
@@ -137,7 +137,12 @@
 			return rep
 		}
 	}
-	return s.wait(ctx, rep, s.longestWait())
+	rep = s.wait(ctx, rep, s.longestWait())
+	if wantsOther(rep) && reason == ReasonShiftCap && rep.reason == ReasonOverload {
+		// The queue at home was the last resort; the cap is why it had to be.
+		rep.reason = ReasonShiftCap
+	}
+	return rep
 }
 
 // tryFree asks the planned places for a free slot, best first, and never
