--- a/pkg/entry/bed_test.go
+++ b/pkg/entry/bed_test.go
@@ -31,6 +31,7 @@
 // bed runs entry instances and stand-ins in this process: entry instance e1 in
 // failure domain d1 of region r1, and e2 in d2 of r2.
 type bed struct {
+	ports      int // number of addresses that were handed out
 	t          *testing.T
 	host       string
 	platform   *platformstandin.Server
@@ -49,13 +50,16 @@
 	}
 }
 
-// freeAddr returns an address of a loopback host of its own, because ports of
-// 127.0.0.1 are also given to outgoing connections.
+// firstPort is below the range of ports that the system gives to outgoing
+// connections.
+const firstPort = 20000
+
+// freeAddr returns an address that was not returned before, on a loopback host
+// of this bed's own. A port that the system chose and that was closed again may
+// be chosen twice.
 func (b *bed) freeAddr() string {
-	l, err := net.Listen("tcp", b.host+":0")
-	require.NoError(b.t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	b.ports++
+	return fmt.Sprintf("%s:%d", b.host, firstPort+b.ports)
 }
 
 // newBed starts the stand-ins. Server "gone-1" has an address on which nothing
