Ask a live owner of a key again while its connection waits to be dialed

The connection for requests to that peer had failed shortly before (start of the bed) and waited for its next dial, while heartbeats, on a connection of their own, went through. Not one byte leaves in that state, so the forward may be tried again; it is, for up to 1 s while heartbeats show that the owner lives.

TestOwnerIsAskedAfterBackoff brings the state about: red 2 of 2 with the wait set to 0, green 3 of 3 with it.

--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dandelionrack/dandelionrack/pkg/claim"
+	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/trace"
 	"github.com/dandelionrack/dandelionrack/pkg/wire"
 )
@@ -110,7 +111,7 @@
 	if !ok {
 		return e.lookupClaim(ctx, req, owner)
 	}
-	rep := e.forward(ctx, req, forwardOptions{entry: target, owner: true})
+	rep := e.askOwner(ctx, req, target, owner)
 	// Only the owner can say that the key did not run. A refusal without its
 	// name was made here, before or instead of asking it.
 	if rep.entry == "" && !rep.answered() {
@@ -119,6 +120,35 @@
 	return rep
 }
 
+const (
+	// ownerPatience bounds how long a live owner is tried that cannot be
+	// reached at the moment.
+	ownerPatience = time.Second
+	ownerPause    = 20 * time.Millisecond
+)
+
+// askOwner forwards a request to the owner of its key. Not one byte leaves when
+// the connection for requests is waiting to be dialed again, although heartbeats
+// show that the owner lives; then it is tried again, because the stored claim
+// alone could only answer as unknown.
+func (e *Entry) askOwner(ctx context.Context, req *request, target config.EntryInstance, owner claim.Incarnation) reply {
+	until := time.Now().Add(ownerPatience)
+	for {
+		rep := e.forward(ctx, req, forwardOptions{entry: target, owner: true})
+		if rep.entry != "" || rep.reason != reasonPeerUnreachable && rep.reason != ReasonLinkBudget {
+			return rep
+		}
+		if time.Now().After(until) || !e.incarnationLive(owner) {
+			return rep
+		}
+		select {
+		case <-ctx.Done():
+			return rep
+		case <-time.After(ownerPause):
+		}
+	}
+}
+
 // lookupClaim answers from the table service when the owner cannot be reached.
 func (e *Entry) lookupClaim(ctx context.Context, req *request, owner claim.Incarnation) reply {
 	d := e.claims.Lookup(ctx, req.claimID())
--- a/pkg/entry/peers_test.go
+++ b/pkg/entry/peers_test.go
@@ -7,7 +7,9 @@
 	"crypto/rand"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"encoding/json"
 	"encoding/pem"
+	"io"
 	"math/big"
 	"net"
 	"net/http"
@@ -59,6 +61,51 @@
 	require.Positive(t, e.metrics.mismatchedReplies.Value())
 }
 
+// relay passes connections on to an address.
+func relay(l net.Listener, target string) {
+	for {
+		near, err := l.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", target)
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		go func() { _, _ = io.Copy(far, near) }()
+		go func() { _, _ = io.Copy(near, far) }()
+	}
+}
+
+// Guards against an answer of unknown about a key whose owner lives, while the
+// connection to the owner waits to be dialed again.
+func TestOwnerIsAskedAfterBackoff(t *testing.T) {
+	b := newBed(t)
+	b.deployment.Links[0].BitsPerSecond = 1e9
+	target, through := b.deployment.EntryInstances[1].PeerAddr, b.freeAddr()
+	e1, _ := b.start(0, func(s *Settings) { s.AddressMap = map[string]string{target: through} })
+	b.start(1, nil)
+	b.configure(2)
+	key := b.call(1, http.MethodPost, "/v1/keys?service=weka", "", nil)
+	var issued KeyAnswer
+	require.NoError(t, json.Unmarshal(key.body, &issued))
+
+	// Failed dials of the connection for requests raise its delay to 0.5 to 1 s.
+	for start := time.Now(); time.Since(start) < 3*time.Second; time.Sleep(20 * time.Millisecond) {
+		_, err := e1.callPeer(t.Context(), target, &wire.Request{Call: &wire.Request_TraceQuery{TraceQuery: &wire.TraceQuery{}}})
+		require.Error(t, err)
+	}
+	l, err := net.Listen("tcp", through)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go relay(l, target)
+
+	r := b.call(0, http.MethodPost, "/v1/call/weka/x", "", []string{"Idempotency-Key: " + issued.Key})
+	require.Equal(t, http.StatusOK, r.status, "%s", r.body)
+	require.Equal(t, "answered", r.header.Get(HeaderOutcome))
+}
+
 // authority is a certificate authority of a test.
 type authority struct {
 	t    *testing.T
