--- a/cmd/drbench/main.go
+++ b/cmd/drbench/main.go
@@ -3,27 +3,20 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
 
 	"github.com/dandelionrack/dandelionrack/internal/bench"
-	"github.com/dandelionrack/dandelionrack/internal/version"
+	"github.com/dandelionrack/dandelionrack/internal/cli"
 )
 
-// Exit codes.
-const (
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2
-)
+const description = "Measures latency, headroom, drains, changes and fail-over of the sample deployments. " +
+	"Figures need an otherwise idle machine.\n\nExit codes: 0 all parts were measured, 1 failure, 2 usage."
 
 type commandLine struct {
 	Deployment         []string         `help:"Deployments to measure: folders below --deploy." default:"kallitexnis,hesabu"`
@@ -45,33 +38,24 @@
 
 func run() int {
 	var cl commandLine
-	parser := kong.Must(&cl,
-		kong.Name("drbench"),
-		kong.Description("Measures latency, headroom, drains, changes and fail-over of the sample deployments. Figures need an otherwise idle machine.\n\nExit codes: 0 all parts were measured, 1 failure, 2 usage."),
-		kong.Vars{"version": "drbench " + version.String()},
-	)
-	if _, err := parser.Parse(os.Args[1:]); err != nil {
-		fmt.Fprintln(os.Stderr, "drbench:", err)
-		return exitUsage
+	if _, ok := cli.Parse(&cl, "drbench", description); !ok {
+		return cli.ExitUsage
 	}
 	opts, err := cl.options()
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "drbench:", err)
-		return exitUsage
+		return cli.Fail("drbench", err, cli.ExitUsage)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := cli.SignalContext()
 	defer stop()
 	report, err := bench.Run(ctx, opts)
 	report.Print(os.Stdout)
 	if writeErr := report.WriteJSON(cl.Out); writeErr != nil {
-		fmt.Fprintln(os.Stderr, "drbench:", writeErr)
-		return exitFailure
+		return cli.Fail("drbench", writeErr, cli.ExitFailure)
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "drbench:", err)
-		return exitFailure
+		return cli.Fail("drbench", err, cli.ExitFailure)
 	}
-	return exitOK
+	return cli.ExitOK
 }
 
 func (cl *commandLine) options() (bench.Options, error) {
--- a/cmd/drcapacity/main.go
+++ b/cmd/drcapacity/main.go
@@ -4,21 +4,11 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 
-	"github.com/dandelionrack/dandelionrack/internal/version"
-)
-
-// Exit codes.
-const (
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2
+	"github.com/dandelionrack/dandelionrack/internal/cli"
 )
 
 type commandLine struct {
@@ -40,24 +30,17 @@
 
 func run() int {
 	var cl commandLine
-	parser := kong.Must(&cl,
-		kong.Name("drcapacity"),
-		kong.Description("Measures the cost of the parts of dandelionrack by size.\n\nExit codes: 0 ok, 1 failure, 2 usage."),
-		kong.Vars{"version": "drcapacity " + version.String()},
-	)
-	parsed, err := parser.Parse(os.Args[1:])
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "drcapacity:", err)
-		return exitUsage
+	parsed, ok := cli.Parse(&cl, "drcapacity", "Measures the cost of the parts of dandelionrack by size.\n\nExit codes: 0 ok, 1 failure, 2 usage.")
+	if !ok {
+		return cli.ExitUsage
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := cli.SignalContext()
 	defer stop()
 	out := &report{format: cl.Output, w: os.Stdout}
 	out.load()
 	parsed.BindTo(ctx, (*context.Context)(nil))
 	if err := parsed.Run(out); err != nil {
-		fmt.Fprintln(os.Stderr, "drcapacity:", err)
-		return exitFailure
+		return cli.Fail("drcapacity", err, cli.ExitFailure)
 	}
-	return exitOK
+	return cli.ExitOK
 }
--- a/cmd/drdemo/main.go
+++ b/cmd/drdemo/main.go
@@ -4,18 +4,17 @@
 package main
 
 import (
-	"context"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
 
-	"github.com/dandelionrack/dandelionrack/internal/version"
+	"github.com/dandelionrack/dandelionrack/internal/cli"
 )
 
+const description = "Runs the layout of one customer, with its delays and links, drives load, runs a drain and prints a report.\n\n" +
+	"Exit codes: 0 all checks passed, 1 failure, 2 usage."
+
 type commandLine struct {
 	Deployment string           `help:"Deployment to run: a folder below --deploy." default:"kallitexnis"`
 	Deploy     string           `help:"Folder with the sample deployments." default:"deploy"`
@@ -29,16 +28,13 @@
 
 func main() {
 	var cl commandLine
-	kong.Parse(&cl,
-		kong.Name("drdemo"),
-		kong.Description("Runs the layout of one customer, with its delays and links, drives load, runs a drain and prints a report.\n\nExit codes: 0 all checks passed, 1 failure."),
-		kong.Vars{"version": "drdemo " + version.String()},
-	)
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	if _, ok := cli.Parse(&cl, "drdemo", description); !ok {
+		os.Exit(cli.ExitUsage)
+	}
+	ctx, stop := cli.SignalContext()
 	err := run(ctx, cl)
 	stop()
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "drdemo:", err)
-		os.Exit(1)
+		os.Exit(cli.Fail("drdemo", err, cli.ExitFailure))
 	}
 }
--- a/cmd/drentry/main.go
+++ b/cmd/drentry/main.go
@@ -13,17 +13,13 @@
 	"github.com/alecthomas/kong"
 	"github.com/hashicorp/go-hclog"
 
-	"github.com/dandelionrack/dandelionrack/internal/version"
+	"github.com/dandelionrack/dandelionrack/internal/cli"
 	"github.com/dandelionrack/dandelionrack/pkg/entry"
 	"github.com/dandelionrack/dandelionrack/pkg/settings"
 )
 
-// Exit codes.
-const (
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2 // usage or invalid settings
-)
+const description = "Runs one entry instance of dandelionrack. SIGTERM or SIGINT starts a graceful stop.\n\n" +
+	"Exit codes: 0 stopped gracefully, 1 failure, 2 usage or invalid settings."
 
 type commandLine struct {
 	Settings string           `help:"Settings file, JSON with comments." required:"" placeholder:"FILE"`
@@ -37,22 +33,16 @@
 
 func run() int {
 	var cl commandLine
-	parser := kong.Must(&cl,
-		kong.Name("drentry"),
-		kong.Description("Runs one entry instance of dandelionrack. SIGTERM or SIGINT starts a graceful stop.\n\nExit codes: 0 stopped gracefully, 1 failure, 2 usage or invalid settings."),
-		kong.Vars{"version": "drentry " + version.String()},
-	)
-	if _, err := parser.Parse(os.Args[1:]); err != nil {
-		fmt.Fprintln(os.Stderr, "drentry:", err)
-		return exitUsage
+	if _, ok := cli.Parse(&cl, "drentry", description); !ok {
+		return cli.ExitUsage
 	}
 	var s entry.Settings
 	if err := settings.Load(cl.Settings, &s, s.Check); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return exitUsage
+		return cli.ExitUsage
 	}
 	if cl.Check {
-		return exitOK
+		return cli.ExitOK
 	}
 	s.SetDefaults()
 	log := hclog.New(&hclog.LoggerOptions{
@@ -63,9 +53,9 @@
 	})
 	if err := serve(s, log); err != nil {
 		log.Error("entry instance failed", "error", err)
-		return exitFailure
+		return cli.ExitFailure
 	}
-	return exitOK
+	return cli.ExitOK
 }
 
 func serve(s entry.Settings, log hclog.Logger) error {
--- a/cmd/drload/main.go
+++ b/cmd/drload/main.go
@@ -3,27 +3,20 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
-	"fmt"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/go-faster/errors"
 
+	"github.com/dandelionrack/dandelionrack/internal/cli"
 	"github.com/dandelionrack/dandelionrack/internal/loadgen"
-	"github.com/dandelionrack/dandelionrack/internal/version"
 )
 
-// Exit codes.
-const (
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2
-)
+const description = "Sends requests at a fixed rate. Latency counts from the moment at which a request was due.\n\n" +
+	"Exit codes: 0 every request was answered, 1 some were not, 2 usage."
 
 type commandLine struct {
 	Entry      []string         `help:"Callers' address of an entry instance, for lookups; repeat it for more." required:"" placeholder:"IP:PORT"`
@@ -46,25 +39,17 @@
 
 func run() int {
 	var cl commandLine
-	parser := kong.Must(&cl,
-		kong.Name("drload"),
-		kong.Description("Sends requests at a fixed rate. Latency counts from the moment at which a request was due.\n\nExit codes: 0 every request was answered, 1 some were not, 2 usage."),
-		kong.Vars{"version": "drload " + version.String()},
-	)
-	if _, err := parser.Parse(os.Args[1:]); err != nil {
-		fmt.Fprintln(os.Stderr, "drload:", err)
-		return exitUsage
+	if _, ok := cli.Parse(&cl, "drload", description); !ok {
+		return cli.ExitUsage
 	}
 	token, err := os.ReadFile(cl.TokenFile)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "drload: token:", err)
-		return exitUsage
+		return cli.Fail("drload", errors.Wrap(err, "token"), cli.ExitUsage)
 	}
 	if cl.Rate <= 0 || cl.Callers <= 0 {
-		fmt.Fprintln(os.Stderr, "drload: --rate and --callers must be above 0")
-		return exitUsage
+		return cli.Fail("drload", errors.New("--rate and --callers must be above 0"), cli.ExitUsage)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := cli.SignalContext()
 	defer stop()
 	results := loadgen.Run(ctx, cl.callers(strings.TrimSpace(string(token))), []loadgen.Stream{{
 		Service:    cl.Service,
@@ -73,8 +58,7 @@
 		Timeout:    cl.Timeout,
 	}}, cl.Duration)
 	if err := loadgen.WriteResults(cl.Results, results); err != nil {
-		fmt.Fprintln(os.Stderr, "drload: results:", err)
-		return exitFailure
+		return cli.Fail("drload", errors.Wrap(err, "results"), cli.ExitFailure)
 	}
 	return cl.report(results)
 }
@@ -96,8 +80,8 @@
 	}
 	for _, r := range results {
 		if r.Outcome != loadgen.OutcomeAnswered && r.Outcome != loadgen.OutcomeRecorded {
-			return exitFailure
+			return cli.ExitFailure
 		}
 	}
-	return exitOK
+	return cli.ExitOK
 }
--- a/internal/standin/program/program.go
+++ b/internal/standin/program/program.go
@@ -6,24 +6,15 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"runtime/debug"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/tailscale/hujson"
-)
 
-// Exit codes of the programs.
-const (
-	ExitOK      = 0
-	ExitFailure = 1
-	ExitUsage   = 2 // usage or invalid settings
+	"github.com/dandelionrack/dandelionrack/internal/cli"
 )
 
 type commandLine struct {
@@ -36,27 +27,20 @@
 // calls serve until a signal ends its context. It returns the exit code.
 func Run[T any](name, help string, settings T, serve func(ctx context.Context, settings T, log hclog.Logger) error) int {
 	var cl commandLine
-	parser, err := kong.New(&cl, kong.Name(name), kong.Description(help), kong.Vars{"version": name + " " + version()})
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return ExitFailure
-	}
-	if _, err := parser.Parse(os.Args[1:]); err != nil {
-		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
-		return ExitUsage
+	if _, ok := cli.Parse(&cl, name, help); !ok {
+		return cli.ExitUsage
 	}
 	if err := Load(cl.Settings, &settings); err != nil {
-		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
-		return ExitUsage
+		return cli.Fail(name, err, cli.ExitUsage)
 	}
 	log := hclog.New(&hclog.LoggerOptions{Name: name, Level: hclog.LevelFromString(cl.LogLevel), Output: os.Stderr})
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := cli.SignalContext()
 	defer stop()
 	if err := serve(ctx, settings, log); err != nil {
 		log.Error("stopped", "error", err)
-		return ExitFailure
+		return cli.ExitFailure
 	}
-	return ExitOK
+	return cli.ExitOK
 }
 
 // Load reads a JSON file with comments and refuses unknown keys.
@@ -82,10 +66,3 @@
 	}
 	return nil
 }
-
-func version() string {
-	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
-		return info.Main.Version
-	}
-	return "unknown"
-}
--- a/pkg/entry/callers.go
+++ b/pkg/entry/callers.go
@@ -73,19 +73,9 @@
 
 func (e *Entry) handleLookup(w http.ResponseWriter, r *http.Request) {
 	e.metrics.lookups.Add(1)
-	v := e.currentView()
-	if v == nil {
-		e.refuse(w, "", notRun(ReasonNotReady, "no configuration known yet"))
-		return
-	}
-	contract, ok := v.contractOf(bearerToken(r))
-	if !ok {
-		e.refuse(w, "", notRun(ReasonUnauthorized, "bearer token belongs to no contract"))
-		return
-	}
-	svc, ok := contract.FindService(r.URL.Query().Get("service"))
-	if !ok {
-		e.refuse(w, "", notRun(ReasonUnknownService, "service %q is not in the contract", r.URL.Query().Get("service")))
+	v, svc, bad := e.namedService(r)
+	if bad != nil {
+		e.refuse(w, "", *bad)
 		return
 	}
 	addr, err := e.clientAddr(r)
@@ -101,6 +91,24 @@
 	})
 }
 
+// namedService finds the service that the query names in the caller's contract.
+func (e *Entry) namedService(r *http.Request) (*view, *config.Service, *reply) {
+	v := e.currentView()
+	if v == nil {
+		return nil, nil, refusal(ReasonNotReady, "no configuration known yet")
+	}
+	contract, ok := v.contractOf(bearerToken(r))
+	if !ok {
+		return nil, nil, refusal(ReasonUnauthorized, "bearer token belongs to no contract")
+	}
+	name := r.URL.Query().Get("service")
+	svc, ok := contract.FindService(name)
+	if !ok {
+		return nil, nil, refusal(ReasonUnknownService, "service %q is not in the contract", name)
+	}
+	return v, svc, nil
+}
+
 func (e *Entry) rankEntries(v *view, addr netip.Addr) []LookupEntry {
 	from, ok := v.locator.Locate(addr)
 	if !ok {
@@ -140,19 +148,13 @@
 }
 
 func (e *Entry) handleKeys(w http.ResponseWriter, r *http.Request) {
-	v := e.currentView()
-	if v == nil || e.state() != wire.EntryState_ENTRY_STATE_READY {
+	if e.state() != wire.EntryState_ENTRY_STATE_READY {
 		e.refuse(w, "", notRun(ReasonNotReady, "this entry instance issues no keys now"))
 		return
 	}
-	contract, ok := v.contractOf(bearerToken(r))
-	if !ok {
-		e.refuse(w, "", notRun(ReasonUnauthorized, "bearer token belongs to no contract"))
-		return
-	}
-	svc, ok := contract.FindService(r.URL.Query().Get("service"))
-	if !ok {
-		e.refuse(w, "", notRun(ReasonUnknownService, "service %q is not in the contract", r.URL.Query().Get("service")))
+	_, svc, bad := e.namedService(r)
+	if bad != nil {
+		e.refuse(w, "", *bad)
 		return
 	}
 	now := time.Now()
