--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -12,12 +12,14 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/google/uuid"
 	"github.com/zeromicro/go-zero/rest"
 
 	"github.com/dandelionrack/dandelionrack/pkg/admission"
 	"github.com/dandelionrack/dandelionrack/pkg/budget"
 	"github.com/dandelionrack/dandelionrack/pkg/burn"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/findings"
 	"github.com/dandelionrack/dandelionrack/pkg/operator"
 	"github.com/dandelionrack/dandelionrack/pkg/platform"
 	"github.com/dandelionrack/dandelionrack/pkg/trace"
@@ -232,6 +234,11 @@
 // Trace implements operator.Backend. It reads the rings of all reachable entry
 // instances and the archive, since instances keep nothing.
 func (e *Entry) Trace(ctx context.Context, requestID string) (operator.TraceReport, error) {
+	if id, err := uuid.Parse(requestID); err != nil || id.Version() != 7 {
+		var list findings.List
+		list.Add("request_id", "must be a UUID version 7, as in the %s header, got %q", HeaderRequestID, requestID)
+		return operator.TraceReport{}, list.Err()
+	}
 	spans := e.spans.Get(requestID)
 	missing := e.askAll(ctx, &wire.Request{Call: &wire.Request_TraceQuery{
 		TraceQuery: &wire.TraceQuery{RequestId: requestID},
--- a/pkg/entry/peers_test.go
+++ b/pkg/entry/peers_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/dandelionrack/dandelionrack/pkg/findings"
 	"github.com/dandelionrack/dandelionrack/pkg/operator"
 	"github.com/dandelionrack/dandelionrack/pkg/peer"
 	"github.com/dandelionrack/dandelionrack/pkg/wire"
@@ -201,3 +202,10 @@
 		require.Equal(t, base == "https://"+addr, err == nil, "%s: %v", base, err)
 	}
 }
+
+// Guards against a trace of a mistyped id that looks like one without steps.
+func TestTraceRefusesOtherIDs(t *testing.T) {
+	_, err := new(Entry).Trace(t.Context(), "0")
+	var found *findings.Error
+	require.ErrorAs(t, err, &found)
+}
