Lend slots between failure domains only if the platform dropped the seat

A refusal proves the end of a process only where nothing between can answer in its name. Ruled out: restarts of the seat (it was not restarted) and shares (no change of the deployment).

Now a seat of another failure domain must also be missing from the platform's list, read within 5 s. In a domain with one entry instance its slots stay unused for longer after a death, until the list drops it or it is replaced.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -62,6 +62,8 @@
 
 	leavingMu       sync.Mutex
 	leavingPlatform map[string]bool
+	platformEntries map[string]bool // entry instances in the platform's list
+	platformListAt  time.Time
 	leavingHealth   map[string]bool
 	unreachable     map[string]bool
 
--- a/pkg/entry/peers_test.go
+++ b/pkg/entry/peers_test.go
@@ -20,9 +20,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/findings"
 	"github.com/dandelionrack/dandelionrack/pkg/operator"
 	"github.com/dandelionrack/dandelionrack/pkg/peer"
+	"github.com/dandelionrack/dandelionrack/pkg/platform"
 	"github.com/dandelionrack/dandelionrack/pkg/wire"
 )
 
@@ -209,3 +211,22 @@
 	var found *findings.Error
 	require.ErrorAs(t, err, &found)
 }
+
+// Guards against slots that are borrowed from a live seat of another failure
+// domain, because the cut between the domains answers with refusals.
+func TestRefusalBetweenDomainsNeedsThePlatform(t *testing.T) {
+	e := &Entry{settings: Settings{ID: "e1", FailureDomain: "d1"}}
+	near := config.EntryInstance{ID: "e2", FailureDomain: "d1"}
+	far := config.EntryInstance{ID: "e3", FailureDomain: "d2"}
+	now := time.Now()
+	require.True(t, e.refusalCounts(now, near))
+	require.False(t, e.refusalCounts(now, far), "no list")
+	entry := func(id string) platform.Instance {
+		return platform.Instance{ID: id, Kind: "entry", State: platform.InstanceLive}
+	}
+	e.setPlatformLeaving([]platform.Instance{entry("e1"), entry("e3")})
+	require.False(t, e.refusalCounts(time.Now(), far), "listed")
+	e.setPlatformLeaving([]platform.Instance{entry("e1")})
+	require.True(t, e.refusalCounts(time.Now(), far), "not listed")
+	require.False(t, e.refusalCounts(time.Now().Add(platformListFresh), far), "list too old")
+}
--- a/pkg/entry/servers.go
+++ b/pkg/entry/servers.go
@@ -116,7 +116,7 @@
 		if seat.ID == e.settings.ID {
 			continue
 		}
-		gone := e.provablyGone(now, seat.ID)
+		gone := e.provablyGone(now, seat.ID) && e.refusalCounts(now, seat)
 		borrowers := v.borrowers(seat)
 		for _, s := range v.doc.Deployment.BackendServers {
 			if s.FailureDomain != seat.FailureDomain || !e.mayAdmit(v, s) {
@@ -131,6 +131,23 @@
 	}
 }
 
+// platformListFresh is the age at which the platform's list no longer supports
+// the proof that a seat is gone.
+const platformListFresh = 5 * time.Second
+
+// refusalCounts reports whether a refused connection proves that the process of
+// a seat is gone. Inside the own failure domain it does. Between failure domains
+// a cut may answer with refusals in the name of a live process, so the
+// platform's list must also have dropped the seat.
+func (e *Entry) refusalCounts(now time.Time, seat config.EntryInstance) bool {
+	if seat.FailureDomain == e.settings.FailureDomain {
+		return true
+	}
+	e.leavingMu.Lock()
+	defer e.leavingMu.Unlock()
+	return len(e.platformEntries) > 0 && !e.platformEntries[seat.ID] && now.Sub(e.platformListAt) < platformListFresh
+}
+
 func (e *Entry) provablyGone(now time.Time, id string) bool {
 	e.membersMu.Lock()
 	defer e.membersMu.Unlock()
@@ -233,14 +250,19 @@
 }
 
 func (e *Entry) setPlatformLeaving(list []platform.Instance) {
-	leaving := map[string]bool{}
+	leaving, entries := map[string]bool{}, map[string]bool{}
 	for _, in := range list {
+		if in.Kind == "entry" {
+			entries[in.ID] = true
+		}
 		if in.Kind == "backend" && in.State == platform.InstanceLeaving {
 			leaving[in.ID] = true
 		}
 	}
 	e.leavingMu.Lock()
 	e.leavingPlatform = leaving
+	e.platformEntries = entries
+	e.platformListAt = time.Now()
 	e.leavingMu.Unlock()
 	if v := e.currentView(); v != nil {
 		e.updateLeaving(v)
