claim: let a few transactions start together within the write budget

A claim that came right after another transaction waited for the rest of a fixed interval (10 ms with two entry instances, 55 ms with eleven) although the write budget was half used.

Change: the starts are paced by a token bucket (x/time/rate) with a burst of four instead of a minimum interval. The mean rate is the same; the sum over any time is the budget plus four per entry. No burst while the store fails. Results alone leave one start for a claim. Up to eight in flight, so that a burst does not make the next claim wait for a round trip.

--- a/pkg/claim/committer.go
+++ b/pkg/claim/committer.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/dandelionrack/dandelionrack/pkg/platform"
 )
@@ -19,10 +21,17 @@
 	// outageGroup bounds the rows sent again and again during an outage.
 	outageGroup = 16
 	maxBackoff  = time.Second
-	// maxInFlight bounds the transactions in flight. Four intervals of 55 ms
-	// (eleven entries) cover a round trip of 220 ms, twice that of the
-	// farthest region.
-	maxInFlight = 4
+	// startBurst is how many transactions may start together after a quiet
+	// time. Spaced evenly instead, a claim that came right after another one
+	// waited up to an interval (10 ms with two entries in a domain), although
+	// the write budget was half used.
+	startBurst = 4
+	// resultTokens leaves one start for a claim that comes right after results.
+	resultTokens = 2
+	// maxInFlight bounds the transactions in flight: a burst, and after it four
+	// intervals of 55 ms (eleven entries), which cover a round trip of 220 ms,
+	// twice that of the farthest region.
+	maxInFlight = startBurst + 4
 	// resultIntervals is how many intervals results wait for claims to travel
 	// with. A longer wait leaves more claimed rows behind when the process is
 	// killed, so many entries with their long intervals do not prolong it.
@@ -84,13 +93,23 @@
 	if m.inFlight >= limit || len(m.urgent)+len(m.background)+len(m.retry) == 0 {
 		return sweepInterval
 	}
-	start := m.lastStart.Add(interval)
-	if m.onlyFreshResults() {
-		if overdue := m.background[0].queuedAt.Add(min(resultIntervals*interval, maxResultWait)); overdue.After(start) {
-			start = overdue
-		}
+	if !m.onlyFreshResults() {
+		return m.untilTokens(now, interval, 1)
+	}
+	overdue := m.background[0].queuedAt.Add(min(resultIntervals*interval, maxResultWait))
+	return max(overdue.Sub(now), m.untilTokens(now, interval, resultTokens))
+}
+
+// untilTokens returns how long to wait until the write budget allows n starts.
+func (m *Manager) untilTokens(now time.Time, interval time.Duration, n int) time.Duration {
+	burst := startBurst
+	if m.outage > 0 {
+		burst, n = 1, 1 // probes of a store in trouble keep their distance
 	}
-	return start.Sub(now)
+	m.starts.SetLimitAt(now, rate.Every(interval))
+	m.starts.SetBurstAt(now, burst)
+	missing := float64(n) - m.starts.TokensAt(now)
+	return time.Duration(math.Ceil(missing * float64(interval)))
 }
 
 // onlyFreshResults reports whether nothing but results is queued and no one
@@ -109,14 +128,15 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.lastStart = now
+	m.starts.ReserveN(now, 1)
 	m.inFlight++
 	return g
 }
 
-// interval is the time between the starts of two transactions. Every
+// interval is the mean time between the starts of two transactions. Every
 // configured entry keeps to its part of the budget, so a partition cannot
-// raise the sum. Failures double it up to maxBackoff.
+// raise the sum: over any time it is the budget plus startBurst per entry.
+// Failures double the interval up to maxBackoff.
 func (m *Manager) interval() time.Duration {
 	entries := max(1, m.cfg.Entries())
 	d := time.Duration(float64(entries) / m.cfg.WriteBudget * float64(time.Second))
--- a/pkg/claim/manager.go
+++ b/pkg/claim/manager.go
@@ -101,8 +101,9 @@
 	outage         int       // consecutive failed transactions
 	failures       uint64    // counted failures since the start
 	inFlight       int       // transactions in flight
-	lastStart      time.Time // of the last transaction
-	flushing       int       // callers of Flush
+	// starts paces the transactions; see untilTokens.
+	starts         *rate.Limiter
+	flushing       int // callers of Flush
 	stats          Stats
 	idle           chan struct{} // closed and replaced when a record settles
 }
@@ -141,6 +142,7 @@
 	return &Manager{
 		cfg:     cfg,
 		reads:   rate.NewLimiter(rate.Limit(cfg.ReadBudget), 1),
+		starts:  rate.NewLimiter(rate.Inf, startBurst),
 		wake:    make(chan struct{}, 1),
 		records: make(map[ID]*record),
 		idle:    make(chan struct{}),
--- a/pkg/claim/seal.go
+++ b/pkg/claim/seal.go
@@ -81,16 +81,12 @@
 	interval := m.interval()
 	m.mu.Lock()
 	now := m.cfg.Now()
-	start := m.lastStart.Add(interval)
-	if start.Before(now) {
-		start = now
-	}
-	pause := start.Sub(now)
+	pause := max(0, m.untilTokens(now, interval, 1))
 	if pause > max(maxStartDelay, interval) {
 		m.mu.Unlock()
 		return errBusy
 	}
-	m.lastStart = start
+	m.starts.ReserveN(now, 1)
 	m.stats.Transactions++
 	m.mu.Unlock()
 	select {
