--- a/pkg/claim/manager.go
+++ b/pkg/claim/manager.go
@@ -98,14 +98,14 @@
 	// key. A clock that steps back cannot make such a key acceptable again.
 	evictedThrough time.Time
 	lastSweep      time.Time
-	outage         int       // consecutive failed transactions
-	failures       uint64    // counted failures since the start
-	inFlight       int       // transactions in flight
+	outage         int    // consecutive failed transactions
+	failures       uint64 // counted failures since the start
+	inFlight       int    // transactions in flight
 	// starts paces the transactions; see untilTokens.
-	starts         *rate.Limiter
-	flushing       int // callers of Flush
-	stats          Stats
-	idle           chan struct{} // closed and replaced when a record settles
+	starts   *rate.Limiter
+	flushing int // callers of Flush
+	stats    Stats
+	idle     chan struct{} // closed and replaced when a record settles
 }
 
 // record is the memory of one key.
