drbench: show when the machine itself was slow

Change: a probe measures the thread time of a fixed computation every 5 ms during each load. The part latency reports the share of requests that were sent in slow times, and the added latency without them in columns of its own. All requests still count for the targets.

Conclusion: a part of the p99 is the machine's. How much is left on a quiet machine is to be measured.

--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -63,6 +64,10 @@
 func (r *runner) runLoad(ctx context.Context, variant string, percent int, callers []*loadgen.Caller, streams []loadgen.Stream) (LoadResult, error) {
 	out := LoadResult{Variant: variant, Percent: percent, Rate: totalRate(streams), MachineLoad: machineLoad()}
 	r.progress("%s at %d %% (%.0f requests/s, machine load %.1f)", variant, percent, out.Rate, out.MachineLoad)
+	probeCtx, stopProbe := context.WithCancel(ctx)
+	defer stopProbe()
+	probed := make(chan []probeSample, 1)
+	go func() { probed <- probeSpeed(probeCtx) }()
 	results := make(chan []loadgen.Result, 1)
 	started := time.Now()
 	go func() { results <- loadgen.Run(ctx, callers, streams, r.opts.Warmup+r.opts.Duration) }()
@@ -85,7 +90,10 @@
 	}
 	out.addCounters(r.bed, before, after)
 	out.Connections = free.connections
-	out.Services = serviceResults(<-results, streams, from, to, free)
+	sent := <-results
+	stopProbe()
+	out.Services = serviceResults(sent, streams, from, to, free)
+	out.addCalm(sent, stalledSpans(<-probed), from, to)
 	return out, nil
 }
 
@@ -119,6 +127,22 @@
 	return out
 }
 
+// addCalm adds the latency of the requests that were sent while the machine was
+// not stalled.
+func (l *LoadResult) addCalm(results []loadgen.Result, stalls []span, from, to time.Time) {
+	sent := slices.DeleteFunc(slices.Clone(results), func(r loadgen.Result) bool { return !within(r.SentAt, from, to) })
+	calm := withoutStalls(sent, stalls)
+	if len(sent) > 0 {
+		l.StalledPercent = 100 * float64(len(sent)-len(calm)) / float64(len(sent))
+	}
+	summaries := loadgen.Summarize(calm)
+	for i := range l.Services {
+		if s := summaries[l.Services[i].Service]; s != nil {
+			l.Services[i].Calm = Quantiles{P50: s.P50, P99: s.P99, P999: s.P999}
+		}
+	}
+}
+
 func within(t, from, to time.Time) bool { return !t.Before(from) && t.Before(to) }
 
 func isAnswer(r loadgen.Result) bool {
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -43,8 +43,11 @@
 	Rate    float64 `json:"requests_per_second"`
 	// MachineLoad is the 1-minute load average before the run; figures with a
 	// high one are those of a busy machine.
-	MachineLoad float64         `json:"machine_load"`
-	Services    []ServiceResult `json:"services"`
+	MachineLoad float64 `json:"machine_load"`
+	// StalledPercent is the share of the requests that were sent while the
+	// machine was slow, as its probe saw it.
+	StalledPercent float64         `json:"stalled_percent"`
+	Services       []ServiceResult `json:"services"`
 	// Overruns counts requests that reached a backend server without a free
 	// slot.
 	Overruns       int64   `json:"overruns"`
@@ -58,21 +61,30 @@
 	BusiestPercent float64 `json:"busiest_link_percent"`
 }
 
+// Quantiles are latencies in milliseconds.
+type Quantiles struct {
+	P50  float64 `json:"p50_ms"`
+	P99  float64 `json:"p99_ms"`
+	P999 float64 `json:"p999_ms"`
+}
+
 // ServiceResult is what callers of one service saw.
 type ServiceResult struct {
-	Service    string         `json:"service"`
-	AtMostOnce bool           `json:"at_most_once"`
-	Rate       float64        `json:"requests_per_second"`
-	Sent       int            `json:"sent"`
-	P50        float64        `json:"p50_ms"`
-	P99        float64        `json:"p99_ms"`
-	P999       float64        `json:"p999_ms"`
-	Answers    float64        `json:"answers_per_second"`
-	Outcomes   map[string]int `json:"outcomes"`
-	Reasons    map[string]int `json:"reasons,omitempty"`
-	Slots      int            `json:"slots"`
-	MeanFree   float64        `json:"mean_free_slots"`
-	MinFree    int            `json:"min_free_slots"`
+	Service    string  `json:"service"`
+	AtMostOnce bool    `json:"at_most_once"`
+	Rate       float64 `json:"requests_per_second"`
+	Sent       int     `json:"sent"`
+	P50        float64 `json:"p50_ms"`
+	P99        float64 `json:"p99_ms"`
+	P999       float64 `json:"p999_ms"`
+	// Calm leaves out the requests that were sent while the machine was slow.
+	Calm     Quantiles      `json:"calm"`
+	Answers  float64        `json:"answers_per_second"`
+	Outcomes map[string]int `json:"outcomes"`
+	Reasons  map[string]int `json:"reasons,omitempty"`
+	Slots    int            `json:"slots"`
+	MeanFree float64        `json:"mean_free_slots"`
+	MinFree  int            `json:"min_free_slots"`
 }
 
 // Answered returns the answers per second of all services.
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -47,7 +47,8 @@
 
 func (d *DeploymentResult) print(t table) {
 	if l := d.Latency; l != nil {
-		t.printf("\nAdded latency inside %s at %d %% (machine load %.1f)\n", l.FailureDomain, l.System.Percent, l.System.MachineLoad)
+		t.printf("\nAdded latency inside %s at %d %% (machine load %.1f; machine stalled for %.0f %% of the direct and %.0f %% of the system's requests)\n",
+			l.FailureDomain, l.System.Percent, l.System.MachineLoad, l.Direct.StalledPercent, l.System.StalledPercent)
 		l.print(t)
 	}
 	if len(d.Loads) > 0 {
@@ -68,11 +69,12 @@
 }
 
 func (l *LatencyResult) print(t table) {
-	t.head("service", "direct p50 ms", "p99", "p99.9", "system p50 ms", "p99", "p99.9", "added p50 ms", "p99", "p99.9", "outcomes")
+	t.head("service", "direct p50 ms", "p99", "p99.9", "system p50 ms", "p99", "p99.9", "added p50 ms", "p99", "p99.9", "added p50 ms, machine not stalled", "p99", "outcomes")
 	ms := func(v float64) string { return fmt.Sprintf("%.2f", v) }
 	for i, a := range l.Added {
 		d, s := l.Direct.Services[i], l.System.Services[i]
-		t.row(a.Service, ms(d.P50), ms(d.P99), ms(d.P999), ms(s.P50), ms(s.P99), ms(s.P999), ms(a.P50), ms(a.P99), ms(a.P999), counts(s.Outcomes))
+		t.row(a.Service, ms(d.P50), ms(d.P99), ms(d.P999), ms(s.P50), ms(s.P99), ms(s.P999), ms(a.P50), ms(a.P99), ms(a.P999),
+			ms(s.Calm.P50-d.Calm.P50), ms(s.Calm.P99-d.Calm.P99), counts(s.Outcomes))
 	}
 }
 
