trace: pace the object writes by the number of entry instances; one SetLent

Cause: each entry instance writes an object of spans every 5 s, whatever their number. At the planned 540 that is 108 writes/s (calculated in CAPACITY.md), 27 % of what the store offers for everything, next to 200 claim transactions/s.

Change: Run waits for max(5 s, entry instances / 20 per second), so all of them together stay at 20 writes/s; nothing changes below 100. Flush keeps the 5 s, because a stop must not wait for 27 s.

Ruled out: a collector per failure domain (all spans of 45 nodes would pass one node, more than its 12 KB/s).

Conclusion: 20 writes/s at any size; a killed process loses up to 27 s of spans at 540 nodes instead of 5 s. Also removes admission's SetLent, which nothing used; SetLentBy takes its name.

--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -215,17 +215,12 @@
 	c.touch(now)
 }
 
-// SetLent is SetLentBy for a server that only one gone seat lends.
-func (c *Controller) SetLent(now time.Time, id string, extra int) {
-	c.SetLentBy(now, id, "", extra)
-}
-
-// SetLentBy sets the slots that this seat may borrow of a server from a gone
+// SetLent sets the slots that this seat may borrow of a server from a gone
 // seat, 0 to withdraw them at once. now is the time of the check that found the
 // lending seat gone. The slots can be used after the hold-off, and only while
 // the call is repeated at least every LendValidity: a process that was paused
 // must not use an old proof. After a gap the hold-off starts again.
-func (c *Controller) SetLentBy(now time.Time, id, lender string, extra int) {
+func (c *Controller) SetLent(now time.Time, id, lender string, extra int) {
 	s := c.servers[id]
 	if s == nil {
 		return
--- a/pkg/admission/controller_test.go
+++ b/pkg/admission/controller_test.go
@@ -275,14 +275,14 @@
 		}
 		if other.c != nil {
 			delete(s.refused, other.name)
-			s.c.SetLentBy(w.now, "srv", other.name, 0)
+			s.c.SetLent(w.now, "srv", other.name, 0)
 			continue
 		}
 		if s.refused[other.name].IsZero() {
 			s.refused[other.name] = w.now
 		}
 		if w.now.Sub(s.refused[other.name]) >= time.Second {
-			s.c.SetLentBy(w.now, "srv", other.name, LentShare(w.slots, "srv", s.owners, other.name, s.owners, s.name))
+			s.c.SetLent(w.now, "srv", other.name, LentShare(w.slots, "srv", s.owners, other.name, s.owners, s.name))
 		}
 	}
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -123,7 +123,12 @@
 	}
 	e.store = configstore.New(e.platform, newRequestID)
 	e.limits = newLimits(now, settings.NoPredecessor)
-	e.archiver = trace.NewArchiver(trace.ArchiverConfig{Entry: settings.ID, Objects: e.platform, Logger: e.log})
+	e.archiver = trace.NewArchiver(trace.ArchiverConfig{
+		Entry:   settings.ID,
+		Objects: e.platform,
+		Writers: e.configuredEntries,
+		Logger:  e.log,
+	})
 	e.claims = claim.NewManager(claim.Config{
 		Self:    self,
 		Table:   e.platform,
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -215,7 +215,7 @@
 func (g *gate) setLentBy(now time.Time, server, lender string, extra int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.ctl.SetLentBy(now, server, lender, extra)
+	g.ctl.SetLent(now, server, lender, extra)
 }
 
 // read looks at the controller.
--- a/pkg/trace/archiver.go
+++ b/pkg/trace/archiver.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	// defaultInterval keeps the writes of all entry instances far below the
-	// store's write budget.
-	defaultInterval   = 5 * time.Second
+	defaultInterval = 5 * time.Second
+	// writesPerSecond is the share of all writers together in the several
+	// hundred writes per second of the store; claims use up to 200.
+	writesPerSecond   = 20
 	defaultBacklog    = 8 << 20
 	defaultPutTimeout = 4 * time.Second
 )
@@ -26,6 +27,11 @@
 	Objects platform.Objects
 	// Interval is the shortest time between two writes.
 	Interval time.Duration
+	// Writers returns the number of entry instances that write to the store,
+	// dead or alive. From 100 on, Run waits longer than Interval, so that they
+	// stay within writesPerSecond together. Flush, which ends a process, does
+	// not. Without it, Run keeps to Interval.
+	Writers func() int
 	// MaxBacklogBytes bounds the memory of spans that wait for a write.
 	MaxBacklogBytes int
 	PutTimeout      time.Duration
@@ -62,6 +68,9 @@
 	if cfg.Interval <= 0 {
 		cfg.Interval = defaultInterval
 	}
+	if cfg.Writers == nil {
+		cfg.Writers = func() int { return 1 }
+	}
 	if cfg.MaxBacklogBytes <= 0 {
 		cfg.MaxBacklogBytes = defaultBacklog
 	}
@@ -106,13 +115,13 @@
 
 // Run writes one batch per interval until ctx ends.
 func (a *Archiver) Run(ctx context.Context) {
-	tick := time.NewTicker(a.cfg.Interval)
-	defer tick.Stop()
 	for {
+		timer := time.NewTimer(a.pause())
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return
-		case <-tick.C:
+		case <-timer.C:
 		}
 		if _, err := a.write(ctx); err != nil && ctx.Err() == nil {
 			a.cfg.Logger.Warn("trace spans not archived; the write is tried again", "error", err)
@@ -120,6 +129,11 @@
 	}
 }
 
+// pause is the time between two batches of Run.
+func (a *Archiver) pause() time.Duration {
+	return max(a.cfg.Interval, time.Duration(a.cfg.Writers())*time.Second/writesPerSecond)
+}
+
 // Flush writes all queued spans. It keeps the interval between writes, so it
 // may wait for one; when ctx ends first, it returns an error that includes
 // the last failed write, and the spans stay queued.
--- a/pkg/trace/trace_test.go
+++ b/pkg/trace/trace_test.go
@@ -230,3 +230,26 @@
 		require.ErrorIs(t, err, ErrRequestID)
 	}
 }
+
+// Guards against many entry instances that together write more objects than
+// the store has room for, and against a stop that waits for that long pace.
+func TestWritersShareTheBudget(t *testing.T) {
+	for writers, want := range map[int]int{8: 12, 540: 2} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &store{data: map[string][]byte{}}
+			a := NewArchiver(ArchiverConfig{Entry: "entry-1", Objects: s, Writers: func() int { return writers }})
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			go a.Run(ctx)
+			for n := range uint16(600) {
+				a.Add(Span{RequestID: requestAt(time.Now(), n), At: time.Now()})
+				time.Sleep(100 * time.Millisecond)
+			}
+			synctest.Wait()
+			require.InDelta(t, want, a.Stats().ObjectsStored, 1, "%d writers", writers)
+			started := time.Now()
+			require.NoError(t, a.Flush(context.Background()))
+			require.LessOrEqual(t, time.Since(started), defaultInterval)
+		})
+	}
+}
