drbench: measure added latency without a link to the platform

Cause: the part latency leaves out the link stand-in between callers and entry instances, since even a link without delay costs a hop that is not part of the system, but kept it between entry instances and the platform. Every claim of an at-most-once request passed it twice.

Change: without delays the entry instances connect to the platform directly.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -136,7 +136,8 @@
 	return nil
 }
 
-// withBed starts a bed for the time of a function.
+// withBed starts a bed for the time of a function. Without delays, the entry
+// instances reach the platform without a link too.
 func (r *runner) withBed(ctx context.Context, folder string, delays *testbed.Delays, work backendstandin.Work, f func(context.Context) error) error {
 	dir, err := os.MkdirTemp("", "drbench")
 	if err != nil {
@@ -144,7 +145,7 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	bed, err := testbed.Start(ctx, testbed.Options{
-		Bin: r.opts.Bin, Deployment: folder, Dir: dir, Delays: delays, Work: work,
+		Bin: r.opts.Bin, Deployment: folder, Dir: dir, Delays: delays, DirectPlatform: delays == nil, Work: work,
 	})
 	if err != nil {
 		return errors.Wrap(err, "start")
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -35,6 +35,9 @@
 	Dir string
 	// Delays shapes the links; nil adds no delay and no bandwidth limit.
 	Delays *Delays
+	// DirectPlatform connects entry instances to the platform without a link.
+	// Even a link without delay costs a hop that is not part of the system.
+	DirectPlatform bool
 	// Work is the cost of a request at a backend server.
 	Work backendstandin.Work
 	// LookupTTL of the entry instances.
@@ -71,6 +74,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if opts.DirectPlatform {
+		for id := range l.platformURLs {
+			l.platformURLs[id] = "http://" + l.platformAddr()
+		}
+	}
 	if opts.Contract != nil {
 		opts.Contract(&l.contract)
 	}
