--- a/internal/bench/probe.go
+++ b/internal/bench/probe.go
@@ -11,10 +11,9 @@
 )
 
 // A virtual machine can lose computing speed to its neighbours for parts of a
-// second without any sign in its load average. Here a fixed computation became
-// up to twice as slow every 1.5 s, and requests sent then made up the p99. The
-// probe shows such times, so that figures with and without them can be given
-// side by side.
+// second without any sign in its load average. Requests that are sent
+// then can make up the whole p99. The probe finds such times, so that figures
+// with and without them can be given side by side.
 const (
 	probeInterval = 5 * time.Millisecond
 	// probeRounds take about 0.2 ms, so that the probe uses 4 % of a core.
