drbench, drload: measure at-most-once requests with entry-issued keys

Entry-issued keys need no write before the request runs, but no run showed what callers gain from them.

--- a/cmd/drload/main.go
+++ b/cmd/drload/main.go
@@ -26,6 +26,7 @@
 	Duration   time.Duration    `help:"How long requests are sent." default:"10s"`
 	Timeout    time.Duration    `help:"Deadline of each request." default:"2s"`
 	AtMostOnce bool             `help:"Send an idempotency key with each request."`
+	IssuedKeys bool             `help:"Use entry-issued keys in place of caller-made ones."`
 	Client     string           `help:"Address of the caller, where the entry instances allow it." placeholder:"IP"`
 	Callers    int              `help:"Number of callers, each with its own lookup cache." default:"4"`
 	Output     string           `help:"Output format." enum:"text,json" default:"text"`
@@ -54,7 +55,8 @@
 	results := loadgen.Run(ctx, cl.callers(strings.TrimSpace(string(token))), []loadgen.Stream{{
 		Service:    cl.Service,
 		Rate:       cl.Rate,
-		AtMostOnce: cl.AtMostOnce,
+		AtMostOnce: cl.AtMostOnce || cl.IssuedKeys,
+		IssuedKeys: cl.IssuedKeys,
 		Timeout:    cl.Timeout,
 	}}, cl.Duration)
 	if err := loadgen.WriteResults(cl.Results, results); err != nil {
--- a/internal/bench/latency.go
+++ b/internal/bench/latency.go
@@ -54,14 +54,24 @@
 	if out.System, err = r.runLoad(ctx, variantSystem, latencyPercent, withoutLinks(callers), streams); err != nil {
 		return err
 	}
-	for i, s := range out.System.Services {
-		d := out.Direct.Services[i]
-		out.Added = append(out.Added, Added{Service: s.Service, P50: s.P50 - d.P50, P99: s.P99 - d.P99, P999: s.P999 - d.P999})
+	if out.Issued, err = r.runLoad(ctx, variantIssued, latencyPercent, withoutLinks(callers), withIssuedKeys(streams)); err != nil {
+		return err
 	}
+	out.Added = addedTo(out.Direct, out.System)
+	out.AddedIssued = addedTo(out.Direct, out.Issued)
 	r.result.Latency = out
 	return nil
 }
 
+func addedTo(direct, system LoadResult) []Added {
+	var out []Added
+	for i, s := range system.Services {
+		d := direct.Services[i]
+		out = append(out, Added{Service: s.Service, P50: s.P50 - d.P50, P99: s.P99 - d.P99, P999: s.P999 - d.P999})
+	}
+	return out
+}
+
 // withoutLinks lets callers connect to the entry instances themselves: even a
 // link without delay costs a hop that is not part of the system.
 func withoutLinks(callers []*loadgen.Caller) []*loadgen.Caller {
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -14,6 +14,7 @@
 // Variants of a load run.
 const (
 	variantSystem   = "system"
+	variantIssued   = "system, issued keys"
 	variantDirect   = "direct"
 	variantRandom   = "random"
 	variantReported = "least reported"
@@ -25,8 +26,10 @@
 		return err
 	}
 	for _, percent := range r.opts.Loads {
-		if err := r.addLoad(ctx, variantSystem, percent, callers); err != nil {
-			return err
+		for _, variant := range []string{variantSystem, variantIssued} {
+			if err := r.addLoad(ctx, variant, percent, callers); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
@@ -52,7 +55,11 @@
 }
 
 func (r *runner) addLoad(ctx context.Context, variant string, percent int, callers []*loadgen.Caller) error {
-	result, err := r.runLoad(ctx, variant, percent, callers, r.streams(percent))
+	streams := r.streams(percent)
+	if variant == variantIssued {
+		streams = withIssuedKeys(streams)
+	}
+	result, err := r.runLoad(ctx, variant, percent, callers, streams)
 	if err != nil {
 		return errors.Wrapf(err, "%s at %d %%", variant, percent)
 	}
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -103,6 +103,9 @@
 	Direct        LoadResult `json:"direct"`
 	System        LoadResult `json:"system"`
 	Added         []Added    `json:"added"`
+	// Issued is the system with entry-issued keys.
+	Issued      LoadResult `json:"system_issued_keys"`
+	AddedIssued []Added    `json:"added_issued_keys"`
 }
 
 // Added is the difference of quantiles of the system and of direct calls.
--- a/internal/bench/streams.go
+++ b/internal/bench/streams.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dandelionrack/dandelionrack/internal/loadgen"
@@ -36,6 +37,15 @@
 	return out
 }
 
+// withIssuedKeys uses entry-issued keys where keys are needed.
+func withIssuedKeys(streams []loadgen.Stream) []loadgen.Stream {
+	out := slices.Clone(streams)
+	for i := range out {
+		out[i].IssuedKeys = out[i].AtMostOnce
+	}
+	return out
+}
+
 func totalRate(streams []loadgen.Stream) float64 {
 	sum := 0.0
 	for _, s := range streams {
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -70,14 +70,23 @@
 
 func (l *LatencyResult) print(t table) {
 	t.head("service", "direct p50 ms", "p99", "p99.9", "system p50 ms", "p99", "p99.9", "added p50 ms", "p99", "p99.9", "added p50 ms, machine not stalled", "p99", "outcomes")
-	ms := func(v float64) string { return fmt.Sprintf("%.2f", v) }
 	for i, a := range l.Added {
-		d, s := l.Direct.Services[i], l.System.Services[i]
-		t.row(a.Service, ms(d.P50), ms(d.P99), ms(d.P999), ms(s.P50), ms(s.P99), ms(s.P999), ms(a.P50), ms(a.P99), ms(a.P999),
-			ms(s.Calm.P50-d.Calm.P50), ms(s.Calm.P99-d.Calm.P99), counts(s.Outcomes))
+		l.printRow(t, l.System.Services[i], i, a, "")
+	}
+	for i, a := range l.AddedIssued {
+		if l.Issued.Services[i].AtMostOnce {
+			l.printRow(t, l.Issued.Services[i], i, a, ", issued keys")
+		}
 	}
 }
 
+func (l *LatencyResult) printRow(t table, s ServiceResult, i int, a Added, suffix string) {
+	ms := func(v float64) string { return fmt.Sprintf("%.2f", v) }
+	d := l.Direct.Services[i]
+	t.row(a.Service+suffix, ms(d.P50), ms(d.P99), ms(d.P999), ms(s.P50), ms(s.P99), ms(s.P999), ms(a.P50), ms(a.P99), ms(a.P999),
+		ms(s.Calm.P50-d.Calm.P50), ms(s.Calm.P99-d.Calm.P99), counts(s.Outcomes))
+}
+
 func printLoads(t table, loads []LoadResult) {
 	t.head("variant", "load %", "service", "sent/s", "answers/s", "p50 ms", "p99 ms", "p99.9 ms", "free slots mean", "min", "of", "outcomes", "reasons")
 	for _, l := range loads {
--- a/internal/loadgen/caller.go
+++ b/internal/loadgen/caller.go
@@ -64,6 +64,7 @@
 
 	mu    sync.Mutex
 	cache map[string]cachedLookup
+	pools map[string]*keyPool // by service
 }
 
 type cachedLookup struct {
@@ -90,8 +91,10 @@
 	Body    []byte
 	Header  http.Header
 	// Key makes the request run at most once; empty for idempotent services.
-	Key     string
-	Timeout time.Duration
+	Key string
+	// IssuedKey takes a key of the first entry instance in place of Key.
+	IssuedKey bool
+	Timeout   time.Duration
 }
 
 // NewKey returns a caller-made idempotency key.
@@ -106,6 +109,14 @@
 	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
 	defer cancel()
 	res := Result{Service: r.Service, Key: r.Key, Client: c.Client, SentAt: started, Outcome: OutcomeNotRun, Reason: "no_entry"}
+	if r.IssuedKey {
+		key, err := c.issuedKey(ctx, r.Service)
+		if err != nil {
+			res.Latency = time.Since(started)
+			return res
+		}
+		r.Key, res.Key = key, key
+	}
 	sentOnce := false
 	for ctx.Err() == nil {
 		entries := c.lookup(ctx, r.Service)
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -15,7 +15,9 @@
 	Service string  `json:"service"`
 	Rate    float64 `json:"rate"` // requests per second over all callers
 	// AtMostOnce sends a new key with each request.
-	AtMostOnce bool          `json:"at_most_once"`
+	AtMostOnce bool `json:"at_most_once"`
+	// IssuedKeys makes these keys entry-issued instead of caller-made.
+	IssuedKeys bool          `json:"issued_keys"`
 	Timeout    time.Duration `json:"timeout_ns"`
 	BodySize   int           `json:"body_size"`
 	Header     http.Header   `json:"header,omitempty"`
@@ -91,7 +93,10 @@
 	r := Request{Service: s.Service, Path: "/item/" + strconv.Itoa(i), Method: http.MethodGet, Timeout: s.Timeout, Header: s.Header}
 	if s.AtMostOnce {
 		r.Method = http.MethodPost
-		r.Key = NewKey()
+		r.IssuedKey = s.IssuedKeys
+		if !s.IssuedKeys {
+			r.Key = NewKey()
+		}
 	}
 	if s.BodySize > 0 {
 		r.Method = http.MethodPost
