Write the outcome of a forwarded run when the owner of its claim dies

Cause: a request that entry A (owner of the claim) forwarded to entry B ended as "unknown" for ever when A died before B's reply, although B knew the answer.

While A lives and got the reply B writes nothing, so a forwarded request still costs one write of results. An owner that has only "unknown" adopts the result, and an owner of an entry-issued key reads the row when asked for such a key again.

Ruled out: writing "not run" or "unknown" as well. An owner that got "not run" may be running the request elsewhere under the same attempt id, so such a row would allow a second run; a claimed row of a dead owner is "unknown" already. Ruled out: leaving A's own "unknown" in place. An owner that is cut off writes it before B has finished; replacing it by the result of that very attempt is safe, because "unknown" allows no run.

--- a/pkg/claim/committer.go
+++ b/pkg/claim/committer.go
@@ -48,6 +48,7 @@
 	var flights sync.WaitGroup
 	// Attempts end only after the outcome of every transaction is known.
 	defer flights.Wait()
+	flights.Go(func() { m.runOutcomes(ctx) })
 	for {
 		if err := m.waitForStart(ctx); err != nil {
 			return err
@@ -381,12 +382,13 @@
 	defer m.mu.Unlock()
 	m.flushing += change
 	m.wakeUp()
+	m.outcomes.wakeUp()
 }
 
 func (m *Manager) unwritten() (int, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	n := 0
+	n := len(m.outcomes.list)
 	for _, rec := range m.records {
 		if rec.machine.phase != finished || !rec.machine.settled() {
 			n++
--- a/pkg/claim/doc.go
+++ b/pkg/claim/doc.go
@@ -5,10 +5,12 @@
 //
 //   - A caller-made key is dispatched only after its table row is known to be
 //     "claimed" by this incarnation with the attempt id of the ticket.
-//   - A "claimed" row is overwritten only by the incarnation that it names, and
-//     "done" and "unknown" rows are never overwritten. A "not_run" row may be
-//     taken over by any incarnation. Every write is conditional on the row
-//     version, so a delayed write cannot replace a newer one.
+//   - A "claimed" row is overwritten only by the incarnation that it names, by
+//     the executor of its attempt (RecordOutcome), which writes "done" only, or by
+//     an operator (Resolve). The last two may also replace "unknown". "done" is
+//     never overwritten. A "not_run" row may be taken over by any incarnation.
+//     Every write is conditional on the row version, so a delayed write cannot
+//     replace a newer one.
 //   - An incarnation forgets a caller-made key only when no write of the key is
 //     in doubt. A "claimed" row of this incarnation whose attempt is not in
 //     memory was therefore never dispatched and may be claimed again.
--- a/pkg/claim/machine.go
+++ b/pkg/claim/machine.go
@@ -267,6 +267,11 @@
 func (m *machine) conflictFinished(stored *row) effects {
 	ours := m.want
 	m.held = false
+	if m.adopts(stored) {
+		m.ending = stored
+		m.want = nil
+		return effects{}
+	}
 	if m.ending.State == stateNotRun {
 		m.want = nil
 		return effects{}
@@ -274,3 +279,10 @@
 	m.want = nil
 	return effects{violated: "result " + string(ours.State) + " found a row of " + stored.Entry}
 }
+
+// adopts reports whether a row replaces the end of this attempt: the result
+// that the executor of this very attempt wrote, where the owner knows none.
+func (m *machine) adopts(stored *row) bool {
+	same := stored.owner() == m.self && stored.Attempt == m.attempt
+	return same && stored.State == stateDone && m.ending.State == stateUnknown
+}
--- a/pkg/claim/manager.go
+++ b/pkg/claim/manager.go
@@ -106,6 +106,7 @@
 	flushing int // callers of Flush
 	stats    Stats
 	idle     chan struct{} // closed and replaced when a record settles
+	outcomes outcomes
 }
 
 // record is the memory of one key.
@@ -134,6 +135,14 @@
 	Unavailable  uint64 `json:"unavailable"`
 	Reads        uint64 `json:"reads"`
 	Violations   uint64 `json:"violations"`
+	// OutcomesPending counts the results of runs for peers that are kept,
+	// OutcomesWritten those written in place of the owner, OutcomesLost those
+	// that another row of the claim contradicts, and OutcomesDropped those that
+	// found no room.
+	OutcomesPending int    `json:"outcomes_pending"`
+	OutcomesWritten uint64 `json:"outcomes_written"`
+	OutcomesLost    uint64 `json:"outcomes_lost"`
+	OutcomesDropped uint64 `json:"outcomes_dropped"`
 }
 
 // NewManager returns a manager whose writes start with Run.
@@ -146,6 +155,8 @@
 		wake:    make(chan struct{}, 1),
 		records: make(map[ID]*record),
 		idle:    make(chan struct{}),
+
+		outcomes: outcomes{wake: make(chan struct{}, 1)},
 	}
 }
 
@@ -157,6 +168,7 @@
 	s.Pending = len(m.records) - m.issued
 	s.Issued = m.issued
 	s.Bytes = m.bytes
+	s.OutcomesPending = len(m.outcomes.list)
 	return s
 }
 
@@ -180,6 +192,8 @@
 	switch {
 	case d.Verdict == Recorded && d.Result == nil:
 		return m.Lookup(ctx, id)
+	case d.Verdict == Unknown && key.Issued:
+		return m.adopt(ctx, id, d)
 	case d.Verdict != 0:
 		return d
 	case leads:
@@ -309,8 +323,7 @@
 	if rec.machine.phase != finished || !rec.machine.settled() {
 		return
 	}
-	close(m.idle)
-	m.idle = make(chan struct{})
+	m.signalIdle()
 	if !rec.machine.issued || rec.machine.canRestart() {
 		m.forget(rec)
 		return
@@ -321,6 +334,12 @@
 	}
 }
 
+// signalIdle wakes the callers of Flush. The caller holds the lock.
+func (m *Manager) signalIdle() {
+	close(m.idle)
+	m.idle = make(chan struct{})
+}
+
 func (m *Manager) forget(rec *record) {
 	if m.records[rec.id] != rec {
 		return
--- a/pkg/claim/property_test.go
+++ b/pkg/claim/property_test.go
@@ -19,6 +19,13 @@
 	ticket *Ticket
 	body   string
 	notRun bool // proved
+	// executor is the entry that runs the request for the owner, or -1.
+	executor int
+	ref      Ref
+	over     bool // the backend server has answered
+	// recorder is the incarnation of the executor that knows that the owner did
+	// not get the answer.
+	recorder *Manager
 }
 
 // attempt is one call of Begin in the world.
@@ -37,8 +44,9 @@
 	now      time.Time
 	table    *fakeTable
 	entries  []*Manager
-	flying   [][]*group    // by entry, in no order
-	delayed  []platform.Tx // lost writes that may still land
+	flying   [][]*group      // by entry, in no order
+	writing  []*outcomeGroup // by entry: outcomes of runs for the other one
+	delayed  []platform.Tx   // lost writes that may still land
 	keys     []Key
 	old      []Key      // entry-issued keys of earlier incarnations
 	attempts []*attempt // with the right to a ticket
@@ -51,6 +59,7 @@
 	w := &world{t: t, now: time.Date(2026, 5, 4, 3, 2, 1, 0, time.UTC), table: newFakeTable(), runs: map[ID][]*run{}}
 	w.entries = make([]*Manager, 2)
 	w.flying = make([][]*group, 2)
+	w.writing = make([]*outcomeGroup, 2)
 	// Few keys and entries, so that attempts meet often.
 	w.keys = []Key{callerKey(w.now), callerKey(w.now), {}, {}}
 	for i := range w.entries {
@@ -68,6 +77,7 @@
 		Table:       w.table,
 		Now:         func() time.Time { return w.now },
 		MaxGroup:    2,
+		Live:        func(i Incarnation) bool { return rapid.Bool().Draw(w.t, "live") },
 	})
 	if w.keys[2+i].Raw != "" {
 		w.old = append(w.old, w.keys[2+i])
@@ -155,18 +165,23 @@
 	j := rapid.IntRange(0, len(w.flying[i])-1).Draw(w.t, "flight")
 	g := w.flying[i][j]
 	w.flying[i] = slices.Delete(w.flying[i], j, j+1)
+	w.entries[i].settle(g, w.commit(g.tx))
+}
+
+// commit sends a transaction to the table service, with faults.
+func (w *world) commit(tx platform.Tx) error {
 	err := platform.ErrUnknownOutcome
 	switch rapid.SampledFrom([]string{"ok", "ok", "ok", "lost after", "lost before", "late", "down"}).Draw(w.t, "fate") {
 	case "ok":
-		err = w.table.Commit(context.Background(), g.tx)
+		err = w.table.Commit(context.Background(), tx)
 	case "lost after":
-		_ = w.table.Commit(context.Background(), g.tx)
+		_ = w.table.Commit(context.Background(), tx)
 	case "late":
-		w.delayed = append(w.delayed, g.tx)
+		w.delayed = append(w.delayed, tx)
 	case "down":
 		err = platform.ErrUnavailable
 	}
-	w.entries[i].settle(g, err)
+	return err
 }
 
 func (w *world) landDelayed() {
@@ -190,6 +205,10 @@
 		w.delayed = append(w.delayed, g.tx)
 	}
 	w.flying[i] = nil
+	if g := w.writing[i]; g != nil {
+		w.delayed = append(w.delayed, g.tx)
+	}
+	w.writing[i] = nil
 	for _, a := range w.attempts {
 		a.dead = a.dead || a.entry == i
 	}
@@ -214,14 +233,17 @@
 	back := rapid.IntRange(1, min(4, len(w.attempts))).Draw(w.t, "attempt")
 	a := w.attempts[len(w.attempts)-back]
 	if a.dead {
+		w.finishRun(a)
 		return
 	}
-	step := rapid.SampledFrom([]string{"dispatch", "dispatch", "end", "end", "expire"}).Draw(w.t, "step")
+	step := rapid.SampledFrom([]string{"dispatch", "dispatch", "end", "end", "finish", "expire"}).Draw(w.t, "step")
 	switch {
 	case step == "expire" && a.run == nil && a.ticket.live():
 		w.entries[a.entry].expire(a.ticket)
 	case step == "dispatch":
 		w.dispatch(a)
+	case step == "finish":
+		w.finishRun(a)
 	case step == "end" && a.run != nil:
 		w.end(a)
 	}
@@ -237,15 +259,67 @@
 	}
 	require.False(w.t, isClosed(a.ticket.ended), "an ended ticket was dispatched")
 	require.Empty(w.t, w.open(a.id), "second dispatch of %s", a.id.Key)
-	a.run = &run{ticket: a.ticket, body: fmt.Sprint("run ", len(w.attempts), " ", w.now)}
+	w.send(a)
+}
+
+// send starts a run at a backend server, of this entry or of the other one.
+func (w *world) send(a *attempt) {
+	a.run = &run{ticket: a.ticket, body: fmt.Sprint("run ", len(w.runs[a.id]), " of ", a.id.Key), executor: -1}
+	if rapid.Bool().Draw(w.t, "forward") {
+		a.run.executor = 1 - a.entry
+		a.run.ref = a.ticket.Ref()
+	}
 	w.runs[a.id] = append(w.runs[a.id], a.run)
 }
 
+// finishRun lets the executor of a forwarded request see the answer. It may
+// live longer than the owner, which may or may not get the reply.
+func (w *world) finishRun(a *attempt) {
+	r := a.run
+	if r == nil || r.executor < 0 || r.over || r.notRun {
+		return
+	}
+	r.over = true
+	undelivered := rapid.Bool().Draw(w.t, "undelivered")
+	if undelivered {
+		r.recorder = w.entries[r.executor]
+	}
+	w.entries[r.executor].RecordOutcome(RunOutcome{
+		ID: a.id, Ref: r.ref, Fingerprint: testFP,
+		Result:      Result{Status: 200, Body: []byte(r.body)},
+		Undelivered: undelivered,
+	})
+}
+
+// record starts a transaction with outcomes of an executor, or ends it.
+func (w *world) record() {
+	i := w.pick()
+	m, g := w.entries[i], w.writing[i]
+	if g == nil {
+		w.writing[i] = m.takeOutcomes(w.now)
+		return
+	}
+	w.writing[i] = nil
+	m.settleOutcomes(g, w.commit(g.tx))
+}
+
 func (w *world) end(a *attempt) {
 	if isClosed(a.ticket.ended) {
 		return
 	}
-	switch rapid.SampledFrom([]string{"done", "unknown", "not run"}).Draw(w.t, "end") {
+	how := rapid.SampledFrom([]string{"done", "unknown", "not run", "moved"}).Draw(w.t, "end")
+	if a.run.over && how != "unknown" {
+		how = "done"
+	}
+	if how == "done" {
+		w.finishRun(a)
+	}
+	switch how {
+	case "moved":
+		// The first place proved that it did not run the request; the owner
+		// sends it to another one under the same attempt id.
+		a.run.notRun = true
+		w.send(a)
 	case "done":
 		a.ticket.Done(Result{Status: 200, Body: []byte(a.run.body)})
 	case "unknown":
@@ -294,12 +368,42 @@
 			require.True(w.t, open || rec.machine.issued, "key kept in memory without need")
 		}
 	}
+	w.drainOutcomes()
 	for _, tx := range w.delayed {
 		_ = w.table.Commit(context.Background(), tx)
 	}
 	w.noLeftovers()
 }
 
+// drainOutcomes writes what executors know and checks that a claim of a dead
+// owner is not left unknown where another process knows the answer.
+func (w *world) drainOutcomes() {
+	for i, m := range w.entries {
+		if g := w.writing[i]; g != nil {
+			m.settleOutcomes(g, platform.ErrUnknownOutcome)
+		}
+		w.now = w.now.Add(maxOutcomePause)
+		m.flushNow(1)
+		for len(m.outcomes.list) > 0 {
+			g := m.takeOutcomes(w.now)
+			require.NotNil(w.t, g, "outcome not written")
+			m.settleOutcomes(g, w.table.Commit(context.Background(), g.tx))
+		}
+		require.Zero(w.t, m.Stats().OutcomesLost)
+	}
+	for id, runs := range w.runs {
+		for _, r := range runs {
+			if r.recorder == nil || r.recorder != w.entries[r.executor] {
+				continue
+			}
+			stored, err := decodeRow(w.table.rows[id.rowKey()].Value)
+			require.NoError(w.t, err, "no row of %s", id.Key)
+			require.Equal(w.t, stateDone, stored.State, "known outcome was not recorded")
+			require.Equal(w.t, r.body, string(stored.Result.Body))
+		}
+	}
+}
+
 // noLeftovers checks that a row is claimed by a live entry only while that
 // entry has the attempt open; it would become a false "unknown" later.
 func (w *world) noLeftovers() {
@@ -331,8 +435,8 @@
 // pause undoes what came before, so these come last.
 func (w *world) steps() []func() {
 	return []func(){
-		w.caller, w.collect, w.settle, w.begin, w.caller, w.collect, w.settle, w.begin,
-		w.caller, w.collect, w.settle, w.renewKey, w.landDelayed, w.crash, w.pause, w.stop, w.collect,
+		w.caller, w.collect, w.settle, w.begin, w.caller, w.collect, w.settle, w.begin, w.record,
+		w.caller, w.collect, w.settle, w.renewKey, w.landDelayed, w.crash, w.pause, w.stop, w.collect, w.record,
 	}
 }
 
--- a/pkg/claim/row.go
+++ b/pkg/claim/row.go
@@ -30,6 +30,9 @@
 	Result      *Result     `json:"result,omitempty"`
 	Reason      string      `json:"reason,omitempty"`
 	Detail      string      `json:"detail,omitempty"`
+	// Resolution is how an operator settled the claim. It stays when a later
+	// attempt runs the key, as an audit trail.
+	Resolution *Resolution `json:"resolution,omitempty"`
 }
 
 func (r *row) owner() Incarnation {
--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -65,7 +65,7 @@
 }
 
 func forwardMessage(req *request, o forwardOptions, left time.Duration) *wire.Forward {
-	return &wire.Forward{
+	f := &wire.Forward{
 		RequestId:      req.id,
 		Attempt:        o.attempt,
 		Customer:       req.contract.Customer,
@@ -83,6 +83,12 @@
 		AtMostOnce:     !req.service.Idempotent,
 		ExcludeServers: o.exclude,
 	}
+	if req.claim != nil {
+		f.ClaimAttempt = req.claim.Attempt
+		f.ClaimVersion = req.claim.Version
+		f.ClaimIncarnation = req.claim.Owner.Number
+	}
+	return f
 }
 
 // forwardResult turns the outcome of a peer call into a reply. Only an error
@@ -145,10 +151,10 @@
 }
 
 // handleForward serves a request that a peer passed on.
-func (e *Entry) handleForward(ctx context.Context, f *wire.Forward) *wire.Response {
+func (e *Entry) handleForward(ctx context.Context, from string, f *wire.Forward) *wire.Response {
 	e.inFlight.Add(1)
 	defer e.inFlight.Done()
-	rep := e.serveForward(ctx, f)
+	rep := e.serveForward(ctx, from, f)
 	return &wire.Response{Reply: &wire.Response_Forward{Forward: &wire.ForwardReply{
 		RequestId:     f.GetRequestId(),
 		Attempt:       f.GetAttempt(),
@@ -164,7 +170,7 @@
 	}}}
 }
 
-func (e *Entry) serveForward(ctx context.Context, f *wire.Forward) reply {
+func (e *Entry) serveForward(ctx context.Context, from string, f *wire.Forward) reply {
 	req, bad := e.forwardedRequest(f)
 	if bad != nil && f.GetOwner() {
 		// A process that has just replaced the owner cannot speak for the key.
@@ -173,21 +179,42 @@
 	if bad != nil {
 		return *bad
 	}
-	deadline := req.deadline
+	caller, deadline := ctx, req.deadline
 	if f.GetAtMostOnce() {
 		ctx = context.WithoutCancel(ctx)
 		deadline = deadline.Add(recordGrace)
 	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	runCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	if f.GetOwner() {
-		return e.serveOwned(ctx, req)
+		return e.serveOwned(runCtx, req)
 	}
-	return e.admitAndCall(ctx, req, admitOptions{
+	rep := e.admitAndCall(runCtx, req, admitOptions{
 		attempt: f.GetAttempt(),
 		maxWait: time.Duration(f.GetMaxQueueMs()) * time.Millisecond,
 		exclude: f.GetExcludeServers(),
 	})
+	e.keepOutcome(req, from, f, rep, caller.Err() != nil)
+	return rep
+}
+
+// keepOutcome lets the result of a run survive the owner of its claim. gone
+// means that the owner ended the call or its connection broke.
+func (e *Entry) keepOutcome(req *request, from string, f *wire.Forward, rep reply, gone bool) {
+	if f.GetClaimAttempt() == "" || !rep.answered() {
+		return
+	}
+	e.claims.RecordOutcome(claim.RunOutcome{
+		ID: req.claimID(),
+		Ref: claim.Ref{
+			Owner:   claim.Incarnation{Entry: from, Number: f.GetClaimIncarnation()},
+			Attempt: f.GetClaimAttempt(),
+			Version: f.GetClaimVersion(),
+		},
+		Fingerprint: req.fingerprint(),
+		Result:      claim.Result{Status: rep.status, Header: rep.header, Body: rep.body},
+		Undelivered: gone,
+	})
 }
 
 // forwardedRequest rebuilds the request under this instance's configuration.
--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -45,6 +45,8 @@
 		ticket.NotRun(string(ReasonDeadline))
 		return notRun(ReasonDeadline, "claim could not be used in time: %v", err)
 	}
+	ref := ticket.Ref()
+	req.claim = &ref
 	rep := e.steer(ctx, req)
 	switch {
 	case rep.answered():
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -27,6 +27,8 @@
 
 	// key is set for services that are not idempotent.
 	key claim.Key
+	// claim names the claim that this instance owns while it runs the request.
+	claim *claim.Ref
 }
 
 func (r *request) claimID() claim.ID {
