entry: bound the platform check of a status

Cause: the status of an entry instance reads the platform's instance list with the full timeout of the client. While the platform hangs, every status took longer than the 2 s that the caller of the test gives it. Ruled out: the entry instance itself; it was ready and had the version. Before: scenario outage_planned_work failed at 'everywhere within=2s' with 'GET /v1/status: context deadline exceeded'.

--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -29,6 +29,10 @@
 // askTimeout bounds the calls that collect a report from all peers.
 const askTimeout = 2 * time.Second
 
+// storeCheckTimeout bounds the platform call of a status. The status has to
+// arrive quickly also when the platform does not answer.
+const storeCheckTimeout = time.Second
+
 // maxUnresolved bounds the list of unresolved claims in one report.
 const maxUnresolved = 1000
 
@@ -365,7 +369,9 @@
 
 // Status implements operator.Backend.
 func (e *Entry) Status(ctx context.Context) (operator.EntryStatus, error) {
-	_, err := e.platform.Instances(ctx)
+	check, cancel := context.WithTimeout(ctx, storeCheckTimeout)
+	defer cancel()
+	_, err := e.platform.Instances(check)
 	out := operator.EntryStatus{
 		Entry:         e.settings.ID,
 		FailureDomain: e.settings.FailureDomain,
