entry: refuse to start with a peer certificate that peers refuse

Ruled out: refusals at other instances; the logs have none. Test: TestPeerCertificateIsCheckedAtStart fails without the check ('An error is expected but got nil'). An instance that trusts another authority as a whole cannot see this itself and still starts; it then works as one that is cut off.

--- a/pkg/entry/peers_test.go
+++ b/pkg/entry/peers_test.go
@@ -111,6 +111,9 @@
 
 // authority is a certificate authority of a test.
 type authority struct {
+	// age makes certificates older.
+	age time.Duration
+
 	t    *testing.T
 	dir  string
 	ips  []net.IP // in each certificate
@@ -131,7 +134,7 @@
 	require.NoError(a.t, err)
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name}, IPAddresses: a.ips,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		NotBefore: time.Now().Add(-time.Hour - a.age), NotAfter: time.Now().Add(time.Hour - a.age),
 		IsCA: parent == nil, BasicConstraintsValid: true,
 	}
 	signer := a.key
@@ -182,6 +185,32 @@
 	}
 }
 
+// Guards against an instance that starts with a certificate which its peers
+// refuse, and then serves callers without them.
+func TestPeerCertificateIsCheckedAtStart(t *testing.T) {
+	ours, other := newAuthority(t), newAuthority(t)
+	var s Settings
+	for name, change := range map[string]func(p *PeerTLSFiles){
+		"":                  func(*PeerTLSFiles) {},
+		"unknown authority": func(p *PeerTLSFiles) { p.CAFile = filepath.Join(other.dir, "ca.pem") },
+		"not another":       func(p *PeerTLSFiles) { p.ServerName = "another" },
+		"expired": func(p *PeerTLSFiles) {
+			ours.age = 2 * time.Hour
+			ours.issue("entry", ours.cert)
+		},
+	} {
+		ours.age = 0
+		ours.settings(&s)
+		change(s.PeerTLS)
+		_, _, err := s.PeerTLS.load()
+		if name == "" {
+			require.NoError(t, err)
+			continue
+		}
+		require.ErrorContains(t, err, name)
+	}
+}
+
 // Guards against an operator listener that stays in the clear although TLS is
 // configured, and against a client that accepts any certificate.
 func TestOperatorTLS(t *testing.T) {
--- a/pkg/entry/tls.go
+++ b/pkg/entry/tls.go
@@ -20,6 +20,30 @@
 	return &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}, nil
 }
 
+// verify checks the own certificate as peers will do. With a certificate that
+// they refuse, the process would look ready to callers, and would refuse what
+// it cannot pass on.
+func (t *PeerTLSFiles) verify(cert tls.Certificate, roots *x509.CertPool) error {
+	between := x509.NewCertPool()
+	for _, der := range cert.Certificate[1:] {
+		if c, err := x509.ParseCertificate(der); err == nil {
+			between.AddCert(c)
+		}
+	}
+	for _, usage := range []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth} {
+		_, err := cert.Leaf.Verify(x509.VerifyOptions{
+			Roots:         roots,
+			Intermediates: between,
+			DNSName:       t.ServerName,
+			KeyUsages:     []x509.ExtKeyUsage{usage},
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // load returns the client and the server side; a nil receiver means no TLS.
 // Both sides verify the other's certificate.
 func (t *PeerTLSFiles) load() (client, server *tls.Config, err error) {
@@ -38,6 +62,9 @@
 	if !pool.AppendCertsFromPEM(data) {
 		return nil, nil, errors.Errorf("peer certificate authority: %s holds no certificate", t.CAFile)
 	}
+	if err := t.verify(cert, pool); err != nil {
+		return nil, nil, errors.Wrapf(err, "peer certificate %s would be refused by other entry instances", t.CertFile)
+	}
 	client = &tls.Config{
 		Certificates: []tls.Certificate{cert},
 		RootCAs:      pool,
