entry: count answers in the byte budget of the region that sends them

Cause: the seat that forwards a request counted the answer in its own budget. The other direction then carried those answers on top of what its own region sends, up to twice the budget. The stand-in of the links hid this: links of both ways of dialing had a capacity of their own, so that each direction had twice the configured one. They now share one (Backward). Ruled out: control traffic, which the bound allows for. The answer is reserved by its average size before the request runs. An owner of a key answers in any case and counts the bytes.

--- a/internal/bench/sample.go
+++ b/internal/bench/sample.go
@@ -171,8 +171,12 @@
 	count := func(links []linkstandin.Report, sign int64) {
 		for _, l := range links {
 			if l.Group != "" {
-				out[l.Group+" forward"] += sign * l.ForwardBytes
-				out[l.Group+" reverse"] += sign * l.ReverseBytes
+				ahead, back := l.ForwardBytes, l.ReverseBytes
+				if l.Backward {
+					ahead, back = back, ahead
+				}
+				out[l.Group+" forward"] += sign * ahead
+				out[l.Group+" reverse"] += sign * back
 			}
 		}
 	}
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -19,6 +19,7 @@
 	Listen       string `json:"listen"`
 	Target       string `json:"target"`
 	Group        string `json:"group,omitempty"`
+	Backward     bool   `json:"backward,omitempty"`
 	State        State  `json:"state"`
 	Connections  int    `json:"connections"`
 	ForwardBytes int64  `json:"forward_bytes"`
@@ -163,7 +164,7 @@
 }
 
 func (l *link) shaper(d direction) *shaper {
-	if d == forward {
+	if (d == forward) != l.settings.Backward {
 		return &l.group.forward
 	}
 	return &l.group.reverse
@@ -225,7 +226,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return Report{
-		Name: l.settings.Name, Listen: l.addr, Target: l.settings.Target, Group: l.settings.Group,
+		Name: l.settings.Name, Listen: l.addr, Target: l.settings.Target, Group: l.settings.Group, Backward: l.settings.Backward,
 		State: l.state, Connections: len(l.pairs),
 		ForwardBytes: l.carried[forward], ReverseBytes: l.carried[reverse],
 	}
--- a/internal/standin/link/settings.go
+++ b/internal/standin/link/settings.go
@@ -18,8 +18,11 @@
 	Delay  config.Duration `json:"delay"` // one way
 	// Group names the shared capacity. Without a group the link has its own
 	// capacity, and a group of its own name.
-	Group         string `json:"group"`
-	BitsPerSecond int64  `json:"bits_per_second"` // each way; 0 is no bound
+	Group string `json:"group"`
+	// Backward says that forward bytes use the reverse capacity of the group,
+	// for links of both directions of dialing that share a group.
+	Backward      bool  `json:"backward"`
+	BitsPerSecond int64 `json:"bits_per_second"` // each way; 0 is no bound
 }
 
 // GroupSettings configure a shared capacity.
--- a/pkg/budget/link.go
+++ b/pkg/budget/link.go
@@ -64,15 +64,16 @@
 }
 
 // Reserve takes an estimated number of bytes, or reports that the link has no
-// budget for them now.
+// budget for them now. A message that is sent all the same is counted by
+// settling the reservation.
 func (b *LinkBudget) Reserve(now time.Time, pair LinkPair, bytes int) (LinkReservation, bool) {
 	l := b.links[pair]
 	if l == nil || l.rate <= 0 {
-		return LinkReservation{}, false
+		return LinkReservation{pair: pair}, false
 	}
 	l.fill(now)
 	if l.tokens < min(float64(bytes), l.burst()) {
-		return LinkReservation{}, false
+		return LinkReservation{pair: pair}, false
 	}
 	l.tokens -= float64(bytes)
 	return LinkReservation{pair: pair, bytes: bytes}, true
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -269,7 +269,7 @@
 	case *wire.Request_Heartbeat:
 		return e.handleHeartbeat(ctx, call.Heartbeat)
 	case *wire.Request_Forward:
-		return e.handleForward(ctx, call.Forward)
+		return e.handleForward(ctx, req.GetFromEntry(), call.Forward)
 	case *wire.Request_ConfigFetch:
 		return e.handleConfigFetch(call.ConfigFetch)
 	case *wire.Request_ConfigPush:
--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -42,7 +42,7 @@
 	if left < minForwardTime {
 		return notRun(ReasonDeadline, "not enough time left to use entry instance %s", o.entry.ID)
 	}
-	bytes, ok := e.reserveLink(region, req)
+	bytes, ok := e.reserveRequest(region, req)
 	if !ok {
 		return notRun(ReasonLinkBudget, "the byte budget to region %s is used up", region)
 	}
@@ -51,7 +51,9 @@
 		Forward: forwardMessage(req, o, left),
 	}})
 	rep := e.forwardResult(req, o, res, err)
-	e.settleLink(region, bytes, req, rep)
+	if rep.reason == reasonPeerUnreachable {
+		e.settleLink(bytes, 0)
+	}
 	e.span(req, trace.Span{
 		Kind:          "forward",
 		Attempt:       int(o.attempt),
@@ -145,10 +147,10 @@
 }
 
 // handleForward serves a request that a peer passed on.
-func (e *Entry) handleForward(ctx context.Context, f *wire.Forward) *wire.Response {
+func (e *Entry) handleForward(ctx context.Context, from string, f *wire.Forward) *wire.Response {
 	e.inFlight.Add(1)
 	defer e.inFlight.Done()
-	rep := e.serveForward(ctx, f)
+	rep := e.serveForward(ctx, from, f)
 	return &wire.Response{Reply: &wire.Response_Forward{Forward: &wire.ForwardReply{
 		RequestId:     f.GetRequestId(),
 		Attempt:       f.GetAttempt(),
@@ -164,7 +166,7 @@
 	}}}
 }
 
-func (e *Entry) serveForward(ctx context.Context, f *wire.Forward) reply {
+func (e *Entry) serveForward(ctx context.Context, from string, f *wire.Forward) reply {
 	req, bad := e.forwardedRequest(f)
 	if bad != nil && f.GetOwner() {
 		// A process that has just replaced the owner cannot speak for the key.
@@ -180,6 +182,22 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	region := req.view.regionOf(from)
+	if region == req.view.region {
+		return e.serveHere(ctx, req, f)
+	}
+	answer, ok := e.reserveAnswer(region, req)
+	// An owner answers in any case: the key may have run, and no other entry
+	// instance can tell. The bytes are counted.
+	if !ok && !f.GetOwner() {
+		return notRun(ReasonLinkBudget, "the byte budget for answers to region %s is used up", region)
+	}
+	rep := e.serveHere(ctx, req, f)
+	e.settleAnswer(answer, req, rep)
+	return rep
+}
+
+func (e *Entry) serveHere(ctx context.Context, req *request, f *wire.Forward) reply {
 	if f.GetOwner() {
 		return e.serveOwned(ctx, req)
 	}
--- a/pkg/entry/limits.go
+++ b/pkg/entry/limits.go
@@ -18,6 +18,8 @@
 	links   *budget.LinkBudget
 	rates   map[shift.Key]*rateLimit
 	retries map[shift.Key]*retryLimit
+	// answers holds the average size of the answers that went to other regions.
+	answers map[shift.Key]float64
 }
 
 type rateLimit struct {
@@ -37,6 +39,7 @@
 		links:   budget.NewLinkBudget(),
 		rates:   map[shift.Key]*rateLimit{},
 		retries: map[shift.Key]*retryLimit{},
+		answers: map[shift.Key]float64{},
 	}
 }
 
@@ -160,29 +163,68 @@
 	return region
 }
 
-// responseEstimate is the size assumed for an answer until it is known.
-const responseEstimate = 2 << 10
+const (
+	// messageOverhead is assumed for the headers and the framing of a message.
+	messageOverhead = 1 << 10
+	// answerEstimate is assumed for the answers of a service that has sent none.
+	answerEstimate = 2 << 10
+	// answerWeight is the weight of the newest answer in the average size.
+	answerWeight = 1.0 / 8
+)
+
+// reserveRequest takes the bytes of a request out of the budget to a region.
+// The answer is taken out of the budget of the region that sends it: counted
+// here, it came on top of what that region sends by itself, and together they
+// used up to twice the budget of that direction.
+func (e *Entry) reserveRequest(region string, req *request) (budget.LinkReservation, bool) {
+	return e.reserveLink(req.view, region, len(req.body)+messageOverhead)
+}
+
+// reserveAnswer takes the expected bytes of an answer out of the budget to the
+// region that it goes to, before the request runs.
+func (e *Entry) reserveAnswer(region string, req *request) (budget.LinkReservation, bool) {
+	return e.reserveLink(req.view, region, e.expectedAnswer(req))
+}
 
-// reserveLink takes the bytes of a request out of the budget to a region. The
-// answer comes back over the same link in the other direction, whose budget
-// belongs to the region that sends it; it is counted here because the seats of
-// this region are the ones that cause it.
-func (e *Entry) reserveLink(region string, req *request) (budget.LinkReservation, bool) {
-	if region == req.view.region {
+func (e *Entry) reserveLink(v *view, region string, bytes int) (budget.LinkReservation, bool) {
+	if region == v.region {
 		return budget.LinkReservation{}, true
 	}
 	e.limits.mu.Lock()
 	defer e.limits.mu.Unlock()
-	return e.limits.links.Reserve(time.Now(), budget.LinkPair{From: req.view.region, To: region}, len(req.body)+responseEstimate)
+	return e.limits.links.Reserve(time.Now(), budget.LinkPair{From: v.region, To: region}, bytes)
+}
+
+// settleLink replaces a reservation by the bytes that were sent.
+func (e *Entry) settleLink(r budget.LinkReservation, bytes int) {
+	e.limits.mu.Lock()
+	defer e.limits.mu.Unlock()
+	e.limits.links.Settle(time.Now(), r, bytes)
 }
 
-func (e *Entry) settleLink(region string, r budget.LinkReservation, req *request, rep reply) {
-	if region == req.view.region {
+// settleAnswer replaces the expected size of an answer by the real one.
+func (e *Entry) settleAnswer(r budget.LinkReservation, req *request, rep reply) {
+	bytes := len(rep.body) + messageOverhead
+	e.settleLink(r, bytes)
+	if !rep.answered() {
 		return
 	}
 	e.limits.mu.Lock()
 	defer e.limits.mu.Unlock()
-	e.limits.links.Settle(time.Now(), r, max(len(req.body), len(rep.body))+responseEstimate)
+	size, ok := e.limits.answers[req.limitKey()]
+	if !ok {
+		size = answerEstimate
+	}
+	e.limits.answers[req.limitKey()] = size + answerWeight*(float64(bytes)-size)
+}
+
+func (e *Entry) expectedAnswer(req *request) int {
+	e.limits.mu.Lock()
+	defer e.limits.mu.Unlock()
+	if size, ok := e.limits.answers[req.limitKey()]; ok {
+		return int(size)
+	}
+	return answerEstimate
 }
 
 // linkDelay is the configured one-way delay to another region.
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -84,6 +84,15 @@
 	return fallback
 }
 
+// regionOf is the region of an entry instance, or the own one if the
+// configuration does not have it.
+func (v *view) regionOf(entry string) string {
+	if region, ok := v.regions[v.entries[entry].FailureDomain]; ok {
+		return region
+	}
+	return v.region
+}
+
 // linkBits is the capacity between two regions in bits per second.
 func (v *view) linkBits(a, b string) int64 {
 	for _, l := range v.doc.Deployment.Links {
