--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -42,7 +42,7 @@
 	if left < minForwardTime {
 		return notRun(ReasonDeadline, "not enough time left to use entry instance %s", o.entry.ID)
 	}
-	bytes, ok := e.reserveLink(region, req)
+	bytes, ok := e.reserveRequest(region, req)
 	if !ok {
 		return notRun(ReasonLinkBudget, "the byte budget to region %s is used up", region)
 	}
@@ -51,7 +51,9 @@
 		Forward: forwardMessage(req, o, left),
 	}})
 	rep := e.forwardResult(req, o, res, err)
-	e.settleLink(region, bytes, req, rep)
+	if rep.reason == reasonPeerUnreachable {
+		e.settleLink(bytes, 0)
+	}
 	e.span(req, trace.Span{
 		Kind:          "forward",
 		Attempt:       int(o.attempt),
@@ -184,18 +186,41 @@
 		ctx = context.WithoutCancel(ctx)
 		deadline = deadline.Add(recordGrace)
 	}
-	runCtx, cancel := context.WithDeadline(ctx, deadline)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	rep := e.serveWithinBudget(ctx, req, req.view.regionOf(from), f)
+	if !f.GetOwner() {
+		e.keepOutcome(req, from, f, rep, caller.Err() != nil)
+	}
+	return rep
+}
+
+// serveWithinBudget takes the bytes of the answer out of the budget to the
+// region that asked.
+func (e *Entry) serveWithinBudget(ctx context.Context, req *request, region string, f *wire.Forward) reply {
+	if region == req.view.region {
+		return e.serveHere(ctx, req, f)
+	}
+	answer, ok := e.reserveAnswer(region, req)
+	// An owner answers in any case: the key may have run, and no other entry
+	// instance can tell. The bytes are counted.
+	if !ok && !f.GetOwner() {
+		return notRun(ReasonLinkBudget, "the byte budget for answers to region %s is used up", region)
+	}
+	rep := e.serveHere(ctx, req, f)
+	e.settleAnswer(answer, req, rep)
+	return rep
+}
+
+func (e *Entry) serveHere(ctx context.Context, req *request, f *wire.Forward) reply {
 	if f.GetOwner() {
-		return e.serveOwned(runCtx, req)
+		return e.serveOwned(ctx, req)
 	}
-	rep := e.admitAndCall(runCtx, req, admitOptions{
+	return e.admitAndCall(ctx, req, admitOptions{
 		attempt: f.GetAttempt(),
 		maxWait: time.Duration(f.GetMaxQueueMs()) * time.Millisecond,
 		exclude: f.GetExcludeServers(),
 	})
-	e.keepOutcome(req, from, f, rep, caller.Err() != nil)
-	return rep
 }
 
 // keepOutcome lets the result of a run survive the owner of its claim. gone
