entry, operator, drctl: client blocks outside the configuration document

Cause: 360,000 client blocks do not fit the document, and nothing used pkg/blocks.

drctl blocks publish splits a file into chunks, uploads what the object store lacks through the operator API, and changes client_blocks_index. The entry instance that gets the change reads the index and all its chunks from the object store first, and refuses it with findings if an object is missing or damaged or a target is unknown. Every entry instance fetches the missing objects (peers of its failure domain by BlockFetch, then the object store, within blocks_bytes_per_second) and switches tables in one step. It is not ready before its first table is complete.

The index is changed by an operation of its own. Ruled out: ApplyDeployment, because it sets deployment_changed_at, after which grown slot shares wait.

An index is packed like a chunk, so that every object is named by the hash of its unpacked content; its bound went from 1 MB to 512 KB (9,700 chunks) for it.

Tests seen red: no retry after a failed fetch (the test then does not end); no removal of old blocks; update of the table in use; missing chunk accepted; targets not checked; ready and lookup without a table; both sources accepted; deployment_changed_at set; peers that give no objects (scenario: the replaced entry instance stays not_ready while the store is down).

--- a/cmd/drctl/main.go
+++ b/cmd/drctl/main.go
@@ -47,6 +47,7 @@
 
 	Contract   contractCmd   `cmd:"" help:"Contracts of customers."`
 	Deployment deploymentCmd `cmd:"" help:"Regions, failure domains, entry instances and backend servers."`
+	Blocks     blocksCmd     `cmd:"" help:"Client blocks outside the configuration document."`
 	Drain      drainCmd      `cmd:"" help:"Planned drains of backend servers."`
 	Trace      traceCmd      `cmd:"" help:"Show every step of a request."`
 	Routes     routesCmd     `cmd:"" help:"Show where requests can go."`
--- a/pkg/blocks/fetcher.go
+++ b/pkg/blocks/fetcher.go
@@ -11,7 +11,8 @@
 // ErrNotFound is the error of a Source that does not have a chunk.
 var ErrNotFound = errors.New("chunk not found")
 
-// Source gives packed chunks by hash: a peer or the object store.
+// Source gives packed objects, which are chunks and indexes, by hash: a peer
+// or the object store.
 type Source interface {
 	Chunk(ctx context.Context, hash Hash) ([]byte, error)
 }
@@ -88,7 +89,11 @@
 		if _, ok := out[ref.Hash]; ok {
 			continue
 		}
-		packed, err := f.chunk(ctx, ref, failed, &stats)
+		check := func(packed []byte) error {
+			_, err := Open(ref, packed)
+			return err
+		}
+		packed, err := f.object(ctx, ref.Hash, check, failed, &stats)
 		if err != nil {
 			return out, stats, errors.Wrapf(err, "fetch chunk of %s", ref.Range)
 		}
@@ -97,11 +102,33 @@
 	return out, stats, nil
 }
 
-func (f *Fetcher) chunk(ctx context.Context, ref Ref, failed []bool, stats *FetchStats) ([]byte, error) {
+// FetchIndex returns an index and its packed form.
+func (f *Fetcher) FetchIndex(ctx context.Context, hash Hash) (Index, []byte, FetchStats, error) {
+	var (
+		stats FetchStats
+		x     Index
+	)
+	packed, err := f.object(ctx, hash, func(packed []byte) (err error) {
+		x, err = OpenIndex(packed, hash)
+		return err
+	}, make([]bool, len(f.cfg.Peers)), &stats)
+	if err != nil {
+		return Index{}, nil, stats, errors.Wrapf(err, "fetch index %s", hash)
+	}
+	return x, packed, stats, nil
+}
+
+// SetPeers replaces the peers. The byte rate goes on.
+func (f *Fetcher) SetPeers(peers []Source) { f.cfg.Peers = peers }
+
+// checkFunc refuses an object that is not the one asked for.
+type checkFunc func(packed []byte) error
+
+func (f *Fetcher) object(ctx context.Context, hash Hash, check checkFunc, failed []bool, stats *FetchStats) ([]byte, error) {
 	peers := len(f.cfg.Peers)
 	tries := f.cfg.PeerTries
 	for i := range peers {
-		n := (f.start(ref.Hash) + i) % peers
+		n := (f.start(hash) + i) % peers
 		if failed[n] {
 			continue
 		}
@@ -109,7 +136,7 @@
 			break
 		}
 		tries--
-		packed, err := f.try(ctx, f.cfg.Peers[n], ref, stats)
+		packed, err := f.try(ctx, f.cfg.Peers[n], hash, check, stats)
 		if err == nil {
 			stats.FromPeers++
 			return packed, nil
@@ -122,7 +149,7 @@
 	if f.cfg.Store == nil {
 		return nil, ErrNotFound
 	}
-	packed, err := f.try(ctx, f.cfg.Store, ref, stats)
+	packed, err := f.try(ctx, f.cfg.Store, hash, check, stats)
 	if err != nil {
 		return nil, errors.Wrap(err, "object store")
 	}
@@ -135,19 +162,19 @@
 	return int((binary.BigEndian.Uint64(h[:]) + f.cfg.Seed) % uint64(len(f.cfg.Peers)))
 }
 
-func (f *Fetcher) try(ctx context.Context, from Source, ref Ref, stats *FetchStats) ([]byte, error) {
+func (f *Fetcher) try(ctx context.Context, from Source, hash Hash, check checkFunc, stats *FetchStats) ([]byte, error) {
 	if err := f.waitForRate(ctx); err != nil {
 		return nil, err
 	}
 	tryCtx, cancel := context.WithTimeout(ctx, f.cfg.TryTimeout)
 	defer cancel()
-	packed, err := from.Chunk(tryCtx, ref.Hash)
+	packed, err := from.Chunk(tryCtx, hash)
 	if err != nil {
 		return nil, err
 	}
 	stats.Bytes += len(packed)
 	f.charge(len(packed))
-	if _, err := Open(ref, packed); err != nil {
+	if err := check(packed); err != nil {
 		stats.Rejected++
 		return nil, err
 	}
--- a/pkg/blocks/index.go
+++ b/pkg/blocks/index.go
@@ -8,8 +8,9 @@
 )
 
 // MaxIndexBytes bounds an encoded index: one chunk takes at most 54 bytes, so
-// it holds more than 19,000 chunks.
-const MaxIndexBytes = 1 << 20
+// it holds more than 9,700 chunks. It is not above MaxChunkBytes, because Unpack
+// bounds both alike.
+const MaxIndexBytes = MaxChunkBytes
 
 // Ref names the chunk of a range.
 type Ref struct {
@@ -36,6 +37,15 @@
 // Hash names this version of the client blocks.
 func (x Index) Hash() Hash { return HashOf(x.Encode()) }
 
+// Has returns a function that reports whether the index names a chunk.
+func (x Index) Has() func(Hash) bool {
+	set := make(map[Hash]bool, len(x.Chunks))
+	for _, ref := range x.Chunks {
+		set[ref.Hash] = true
+	}
+	return func(h Hash) bool { return set[h] }
+}
+
 // Missing lists the chunks that are not in a set.
 func (x Index) Missing(have func(Hash) bool) []Ref {
 	var out []Ref
@@ -76,6 +86,16 @@
 	return parseIndex(data)
 }
 
+// OpenIndex unpacks and decodes an index. In the object store it is packed like
+// a chunk, so that every object has the hash of its unpacked content.
+func OpenIndex(packed []byte, want Hash) (Index, error) {
+	data, err := Unpack(packed, want)
+	if err != nil {
+		return Index{}, err
+	}
+	return parseIndex(data)
+}
+
 func parseIndex(data []byte) (Index, error) {
 	r := &reader{rest: data}
 	if r.oneByte() != formatVersion {
--- a/pkg/config/codec.go
+++ b/pkg/config/codec.go
@@ -41,6 +41,8 @@
 	ApplyDeployment *ApplyDeployment `json:"apply_deployment,omitempty"`
 	StartDrain      *StartDrain      `json:"start_drain,omitempty"`
 	CancelDrain     *CancelDrain     `json:"cancel_drain,omitempty"`
+
+	SetClientBlocksIndex *SetClientBlocksIndex `json:"set_client_blocks_index,omitempty"`
 }
 
 // WrapOperation returns the JSON form of an operation.
@@ -57,6 +59,8 @@
 		out.StartDrain = &o
 	case CancelDrain:
 		out.CancelDrain = &o
+	case SetClientBlocksIndex:
+		out.SetClientBlocksIndex = &o
 	}
 	return out
 }
@@ -79,6 +83,9 @@
 	if j.CancelDrain != nil {
 		ops = append(ops, *j.CancelDrain)
 	}
+	if j.SetClientBlocksIndex != nil {
+		ops = append(ops, *j.SetClientBlocksIndex)
+	}
 	if len(ops) != 1 {
 		return nil, invalid("operation", "must hold exactly one operation, has %d", len(ops))
 	}
--- a/pkg/config/operation.go
+++ b/pkg/config/operation.go
@@ -5,7 +5,8 @@
 )
 
 // Operation is one typed modification of a document: ApplyContract,
-// RemoveContract, ApplyDeployment, StartDrain or CancelDrain.
+// RemoveContract, ApplyDeployment, SetClientBlocksIndex, StartDrain or
+// CancelDrain.
 type Operation interface {
 	// Object names what the operation changes, such as "contract/hesabu".
 	Object() string
@@ -81,23 +82,11 @@
 }
 
 // Object implements Operation.
-func (o ApplyDeployment) Object() string  { return "deployment" }
+func (o ApplyDeployment) Object() string  { return deploymentObject }
 func (o ApplyDeployment) summary() string { return "apply deployment" }
 
 func (o ApplyDeployment) check(doc *Document, ch Change) (bool, error) {
-	if doc.DeploymentVersion != 0 && doc.DeploymentChangeID == ch.ID {
-		return true, nil
-	}
-	if doc.DeploymentVersion == o.BaseVersion {
-		return false, nil
-	}
-	return false, &ConflictError{
-		Object:      o.Object(),
-		HaveVersion: doc.DeploymentVersion,
-		BaseVersion: o.BaseVersion,
-		ChangeID:    doc.DeploymentChangeID,
-		Author:      doc.DeploymentAuthor,
-	}
+	return checkDeployment(doc, ch, o.BaseVersion)
 }
 
 func (o ApplyDeployment) apply(next *Document, ch Change) {
@@ -184,6 +173,25 @@
 // Describe names an operation and its object, such as "start drain salio-1".
 func Describe(op Operation) string { return op.summary() }
 
+// deploymentObject names the deployment in changes and conflicts.
+const deploymentObject = "deployment"
+
+func checkDeployment(doc *Document, ch Change, base uint64) (done bool, err error) {
+	if doc.DeploymentVersion != 0 && doc.DeploymentChangeID == ch.ID {
+		return true, nil
+	}
+	if doc.DeploymentVersion == base {
+		return false, nil
+	}
+	return false, &ConflictError{
+		Object:      deploymentObject,
+		HaveVersion: doc.DeploymentVersion,
+		BaseVersion: base,
+		ChangeID:    doc.DeploymentChangeID,
+		Author:      doc.DeploymentAuthor,
+	}
+}
+
 func contractObject(customer string) string { return "contract/" + customer }
 
 func drainObject(server string) string { return "drain/" + server }
--- a/pkg/config/types.go
+++ b/pkg/config/types.go
@@ -82,6 +82,9 @@
 	Links                    []Link        `json:"links,omitempty"`
 	DefaultLinkBitsPerSecond int64         `json:"default_link_bits_per_second"`
 	ClientBlocks             []ClientBlock `json:"client_blocks,omitempty"`
+	// ClientBlocksIndex is the SHA-256 of the index object (pkg/blocks) of
+	// client blocks that are in the object store. It excludes ClientBlocks.
+	ClientBlocksIndex string `json:"client_blocks_index,omitempty"`
 }
 
 // Region is a group of failure domains with short delays between them.
--- a/pkg/config/validate_deployment.go
+++ b/pkg/config/validate_deployment.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"regexp"
 
 	"github.com/dandelionrack/dandelionrack/pkg/findings"
 )
@@ -40,6 +41,7 @@
 	c.checkServers()
 	c.checkLinks()
 	c.checkClientBlocks()
+	c.checkClientBlocksIndex()
 }
 
 func (c *deploymentCheck) at(kind string, i int) string {
@@ -163,6 +165,22 @@
 	}
 }
 
+var indexPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+func (c *deploymentCheck) checkClientBlocksIndex() {
+	index := c.d.ClientBlocksIndex
+	if index == "" {
+		return
+	}
+	path := join(c.prefix, "client_blocks_index")
+	if !indexPattern.MatchString(index) {
+		c.list.Add(path, "%q must be the SHA-256 of an index: 64 lower-case hexadecimal digits", index)
+	}
+	if len(c.d.ClientBlocks) > 0 {
+		c.list.Add(path, "excludes client_blocks; set only one of the two")
+	}
+}
+
 func (c *deploymentCheck) needRegion(path, name string) {
 	if _, ok := c.regions[name]; !ok {
 		c.list.Add(path, "region %q is not defined", name)
--- /dev/null
+++ b/pkg/entry/blockcheck.go
@@ -0,0 +1,213 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"strconv"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dandelionrack/dandelionrack/pkg/blocks"
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/findings"
+	"github.com/dandelionrack/dandelionrack/pkg/operator"
+	"github.com/dandelionrack/dandelionrack/pkg/platform"
+)
+
+const (
+	// blockReads bounds the objects of a check that are read at one time. One
+	// after the other, 90 chunks take 10 s at a round trip of 110 ms.
+	blockReads = 16
+	// maxBlockFindings bounds the findings of one check.
+	maxBlockFindings = 100
+	blocksIndexPath  = "deployment.client_blocks_index"
+)
+
+var _ operator.Backend = (*Entry)(nil)
+
+// MissingBlocks implements operator.Backend.
+func (e *Entry) MissingBlocks(ctx context.Context, hashes []blocks.Hash) ([]blocks.Hash, error) {
+	missing := make([]bool, len(hashes))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(blockReads)
+	for i, h := range hashes {
+		group.Go(func() error {
+			names, err := e.platform.ListObjects(ctx, blockObject(h), "", 1)
+			missing[i] = len(names) == 0
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	var out []blocks.Hash
+	for i, h := range hashes {
+		if missing[i] {
+			out = append(out, h)
+		}
+	}
+	return out, nil
+}
+
+// PutBlock implements operator.Backend. Writing an object again is harmless,
+// because its name stands for its content.
+func (e *Entry) PutBlock(ctx context.Context, hash blocks.Hash, packed []byte) error {
+	if _, err := blocks.Unpack(packed, hash); err != nil {
+		var list findings.List
+		list.Add("object", "%v", err)
+		return list.Err()
+	}
+	return e.platform.PutObject(ctx, blockObject(hash), packed)
+}
+
+// checkBlocks refuses a change whose client blocks are not complete in the
+// object store or name an unknown target.
+func (e *Entry) checkBlocks(ctx context.Context, op config.Operation) error {
+	switch o := op.(type) {
+	case config.ApplyDeployment:
+		if have := e.holder.Current(); have != nil && sameTargets(&have.Deployment, &o.Deployment) {
+			return nil
+		}
+		return e.checkIndex(ctx, o.Deployment.ClientBlocksIndex, &o.Deployment)
+	case config.SetClientBlocksIndex:
+		have, err := e.deploymentOf(ctx, o.BaseVersion)
+		if err != nil || have == nil {
+			return err
+		}
+		return e.checkIndex(ctx, o.Index, have)
+	default:
+		return nil
+	}
+}
+
+// sameTargets reports whether an index that was valid for one deployment is
+// valid for the other one.
+func sameTargets(a, b *config.Deployment) bool {
+	return a.ClientBlocksIndex == b.ClientBlocksIndex &&
+		slices.Equal(a.Regions, b.Regions) && slices.Equal(a.FailureDomains, b.FailureDomains)
+}
+
+// deploymentOf returns the deployment with a version, or nil if it was changed
+// since; Submit then names the conflict.
+func (e *Entry) deploymentOf(ctx context.Context, version uint64) (*config.Deployment, error) {
+	doc := e.holder.Current()
+	if doc == nil || doc.DeploymentVersion < version {
+		e.adopt(e.loadConfig(ctx), "table service")
+		doc = e.holder.Current()
+	}
+	switch {
+	case doc == nil || doc.DeploymentVersion < version:
+		return nil, errors.Wrapf(platform.ErrUnavailable, "version %d of the deployment is not known here yet", version)
+	case doc.DeploymentVersion > version:
+		return nil, nil
+	}
+	return &doc.Deployment, nil
+}
+
+// checkIndex reads an index and all its chunks from the object store. What it
+// read is kept, so that this entry instance need not fetch it again.
+func (e *Entry) checkIndex(ctx context.Context, text string, dep *config.Deployment) error {
+	hash, err := blocks.ParseHash(text)
+	if err != nil {
+		return nil // empty, or a finding of the validation of the document
+	}
+	var list findings.List
+	source := storeSource{e.platform}
+	packed, err := source.Chunk(ctx, hash)
+	if err != nil {
+		return objectError(&list, "index "+text, err)
+	}
+	x, err := blocks.OpenIndex(packed, hash)
+	if err != nil {
+		list.Add(blocksIndexPath, "index %s is damaged: %v", text, err)
+		return list.Err()
+	}
+	objects := map[blocks.Hash][]byte{hash: packed}
+	check := targetCheck{known: targetsOf(dep), list: &list}
+	for refs := range slices.Chunk(x.Chunks, blockReads) {
+		read, problems := readChunks(ctx, source, refs)
+		for i, ref := range refs {
+			name := "chunk " + ref.Hash.String() + " of " + ref.Range.String()
+			if err := problems[i]; err != nil {
+				if err := objectError(&list, name, err); errors.Is(err, platform.ErrUnavailable) {
+					return err
+				}
+				continue
+			}
+			in, err := blocks.Open(ref, read[i])
+			if err != nil {
+				list.Add(blocksIndexPath, "%s is damaged: %v", name, err)
+				continue
+			}
+			check.blocks(in)
+			objects[ref.Hash] = read[i]
+		}
+	}
+	check.end()
+	if err := list.Err(); err != nil {
+		return err
+	}
+	e.blocks.offer(objects)
+	return nil
+}
+
+// readChunks reads objects at the same time.
+func readChunks(ctx context.Context, source storeSource, refs []blocks.Ref) ([][]byte, []error) {
+	read, problems := make([][]byte, len(refs)), make([]error, len(refs))
+	var group errgroup.Group
+	for i, ref := range refs {
+		group.Go(func() error {
+			read[i], problems[i] = source.Chunk(ctx, ref.Hash)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return read, problems
+}
+
+// objectError adds a finding for an object that does not exist, and returns
+// the findings. Any other error is returned as it is: nothing is known.
+func objectError(list *findings.List, what string, err error) error {
+	if !errors.Is(err, blocks.ErrNotFound) {
+		return errors.Wrapf(platform.ErrUnavailable, "read %s (%v)", what, err)
+	}
+	list.Add(blocksIndexPath, "%s is not in the object store", what)
+	return list.Err()
+}
+
+func targetsOf(dep *config.Deployment) map[string]bool {
+	out := map[string]bool{}
+	for _, r := range dep.Regions {
+		out[r.Name] = true
+	}
+	for _, fd := range dep.FailureDomains {
+		out[fd.Name] = true
+	}
+	return out
+}
+
+// targetCheck finds blocks whose target does not exist.
+type targetCheck struct {
+	known map[string]bool
+	list  *findings.List
+	found int
+}
+
+func (c *targetCheck) blocks(in []blocks.Block) {
+	for _, b := range in {
+		if c.known[b.Target] {
+			continue
+		}
+		c.found++
+		if c.found <= maxBlockFindings {
+			c.list.Add(blocksIndexPath, "block %s: %q is neither a region nor a failure domain", b.Prefix, b.Target)
+		}
+	}
+}
+
+func (c *targetCheck) end() {
+	if more := c.found - maxBlockFindings; more > 0 {
+		c.list.Add(blocksIndexPath, "%s more blocks have an unknown target", strconv.Itoa(more))
+	}
+}
--- /dev/null
+++ b/pkg/entry/blockstore.go
@@ -0,0 +1,425 @@
+package entry
+
+import (
+	"context"
+	"encoding/binary"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/dandelionrack/dandelionrack/pkg/blocks"
+	"github.com/dandelionrack/dandelionrack/pkg/lookup"
+	"github.com/dandelionrack/dandelionrack/pkg/operator"
+	"github.com/dandelionrack/dandelionrack/pkg/platform"
+	"github.com/dandelionrack/dandelionrack/pkg/wire"
+)
+
+const (
+	// blockObjectPrefix begins the names of client block objects in the object
+	// store; the SHA-256 of the unpacked content follows.
+	blockObjectPrefix = "blocks-"
+	// Delays before a failed fetch is tried again.
+	blockRetryFirst = 250 * time.Millisecond
+	blockRetryMax   = 10 * time.Second
+	// maxUpdateBlocks bounds the blocks in chunks that differ, old and new, up
+	// to which the table in force is updated: they are compared in memory, and
+	// each change copies the path to its node. A change of one block differs in
+	// at most 11,200. Above it, a new table is built next to the old one.
+	maxUpdateBlocks = 40_000
+)
+
+func blockObject(h blocks.Hash) string { return blockObjectPrefix + h.String() }
+
+// blockStore keeps the table of client blocks in force, and the objects that it
+// was made from to serve them to peers. It fetches the objects of a new index
+// and switches to the new table in one step when it is complete.
+type blockStore struct {
+	log     hclog.Logger
+	fetcher *blocks.Fetcher // used by run only
+	peers   func() []blocks.Source
+	table   atomic.Pointer[lookup.Table]
+	wake    chan struct{}
+
+	mu     sync.Mutex
+	wanted string // index of the configuration; "" when the document holds the blocks
+	cancel context.CancelFunc
+	// inForce is the index of table; "" when the document holds the blocks.
+	inForce string
+	index   blocks.Index
+	since   time.Time
+	// objects are packed and belong to inForce; pending ones to a wanted index
+	// or to one that an operator's change names.
+	objects map[blocks.Hash][]byte
+	pending map[blocks.Hash][]byte
+
+	switches  int64
+	failures  int64
+	served    int64
+	fetched   blocks.FetchStats
+	lastError string
+}
+
+func newBlockStore(bytesPerSecond int, seed uint64, store blocks.Source, log hclog.Logger) *blockStore {
+	return &blockStore{
+		log:     log,
+		fetcher: blocks.NewFetcher(blocks.FetcherConfig{Store: store, BytesPerSecond: bytesPerSecond, Seed: seed}),
+		peers:   func() []blocks.Source { return nil },
+		wake:    make(chan struct{}, 1),
+		pending: map[blocks.Hash][]byte{},
+	}
+}
+
+// useDocument puts the blocks of a configuration document in force.
+func (s *blockStore) useDocument(t *lookup.Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setWanted("")
+	if s.inForce != "" || s.table.Load() == nil {
+		s.since = time.Now()
+	}
+	s.inForce, s.index, s.objects = "", blocks.Index{}, nil
+	s.pending = map[blocks.Hash][]byte{}
+	s.table.Store(t)
+}
+
+// useIndex starts the fetch of an index. The table in force stays until the
+// new one is complete.
+func (s *blockStore) useIndex(hash string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setWanted(hash)
+}
+
+func (s *blockStore) setWanted(hash string) {
+	if s.wanted == hash {
+		return
+	}
+	s.wanted = hash
+	if s.cancel != nil {
+		s.cancel()
+	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// offer keeps the objects of an index that the configuration may soon name.
+func (s *blockStore) offer(objects map[blocks.Hash][]byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.wanted == s.inForce {
+		s.pending = objects
+	}
+}
+
+// packed returns an object, or nil.
+func (s *blockStore) packed(h blocks.Hash) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if data, ok := s.objects[h]; ok {
+		return data
+	}
+	return s.pending[h]
+}
+
+// run fetches each index that the configuration names.
+func (s *blockStore) run(ctx context.Context) {
+	delay := blockRetryFirst
+	for ctx.Err() == nil {
+		fetchCtx, hash := s.begin(ctx)
+		if hash == "" {
+			delay = blockRetryFirst
+			s.sleep(ctx, nil)
+			continue
+		}
+		err := s.fetch(fetchCtx, hash)
+		if s.end(hash, err) {
+			delay = blockRetryFirst
+			continue
+		}
+		s.log.Warn("client blocks are not complete; the previous table stays in force",
+			"index", hash, "retry_after", delay, "error", err)
+		retry := time.NewTimer(delay)
+		s.sleep(ctx, retry.C)
+		retry.Stop()
+		delay = min(2*delay, blockRetryMax)
+	}
+}
+
+func (s *blockStore) sleep(ctx context.Context, retry <-chan time.Time) {
+	select {
+	case <-ctx.Done():
+	case <-s.wake:
+	case <-retry:
+	}
+}
+
+// begin returns the index to fetch, or "". The context ends when another index
+// is wanted.
+func (s *blockStore) begin(ctx context.Context) (context.Context, string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.wanted == "" || s.wanted == s.inForce {
+		return ctx, ""
+	}
+	ctx, s.cancel = context.WithCancel(ctx)
+	return ctx, s.wanted
+}
+
+// end reports whether the fetch needs no retry: it succeeded, or another index
+// is wanted.
+func (s *blockStore) end(hash string, err error) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancel()
+	s.cancel = nil
+	if err == nil || s.wanted != hash {
+		return true
+	}
+	s.failures++
+	s.lastError = err.Error()
+	return false
+}
+
+// fetch gets the missing objects of an index and puts its table in force.
+// Objects that arrived before an error are kept for the next try.
+func (s *blockStore) fetch(ctx context.Context, text string) error {
+	hash, err := blocks.ParseHash(text)
+	if err != nil {
+		return err
+	}
+	s.fetcher.SetPeers(s.peers())
+	x, packed, err := s.fetchIndex(ctx, hash)
+	if err != nil {
+		return err
+	}
+	chunks, stats, err := s.fetcher.Fetch(ctx, x, s.known())
+	s.count(stats)
+	chunks[hash] = packed
+	s.keep(text, chunks)
+	if err != nil {
+		return err
+	}
+	table, err := s.build(x, chunks)
+	if err != nil {
+		return err
+	}
+	s.putInForce(text, x, chunks, table)
+	return nil
+}
+
+func (s *blockStore) fetchIndex(ctx context.Context, hash blocks.Hash) (blocks.Index, []byte, error) {
+	if packed := s.packed(hash); packed != nil {
+		x, err := blocks.OpenIndex(packed, hash)
+		return x, packed, err
+	}
+	x, packed, stats, err := s.fetcher.FetchIndex(ctx, hash)
+	s.count(stats)
+	return x, packed, err
+}
+
+// known returns all objects that are here.
+func (s *blockStore) known() map[blocks.Hash][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[blocks.Hash][]byte, len(s.objects)+len(s.pending))
+	for _, from := range []map[blocks.Hash][]byte{s.pending, s.objects} {
+		for h, packed := range from {
+			out[h] = packed
+		}
+	}
+	return out
+}
+
+// keep stores the objects of an index that is not complete. A change to another
+// index keeps them too: most chunks are the same in both.
+func (s *blockStore) keep(hash string, objects map[blocks.Hash][]byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.wanted != "" {
+		s.pending = objects
+	}
+}
+
+func (s *blockStore) count(stats blocks.FetchStats) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fetched.FromPeers += stats.FromPeers
+	s.fetched.FromStore += stats.FromStore
+	s.fetched.Bytes += stats.Bytes
+	s.fetched.Rejected += stats.Rejected
+}
+
+// build makes the table of an index. It decodes one chunk at a time, so that
+// the memory of all decoded blocks is never needed at once. Chunks that the
+// index in force has too are left as they are in its table.
+func (s *blockStore) build(x blocks.Index, chunks map[blocks.Hash][]byte) (*lookup.Table, error) {
+	s.mu.Lock()
+	old, objects, table := s.index, s.objects, s.table.Load()
+	s.mu.Unlock()
+	gone, added := differing(old, x)
+	differ := blocks.Index{Chunks: gone}.Blocks() + blocks.Index{Chunks: added}.Blocks()
+	if len(old.Chunks) == 0 || differ > maxUpdateBlocks {
+		b := lookup.NewBuilder()
+		err := eachBlock(x.Chunks, chunks, func(block blocks.Block) { b.Set(block.Prefix, block.Target) })
+		return b.Table(), err
+	}
+	before := map[blocks.Block]bool{}
+	if err := eachBlock(gone, objects, func(block blocks.Block) { before[block] = true }); err != nil {
+		return nil, err
+	}
+	var set []blocks.Block
+	err := eachBlock(added, chunks, func(block blocks.Block) {
+		if before[block] {
+			delete(before, block)
+			return
+		}
+		set = append(set, block)
+	})
+	if err != nil {
+		return nil, err
+	}
+	b := table.Update()
+	// Removed first: a block that got another target is in both lists.
+	for block := range before {
+		b.Remove(block.Prefix)
+	}
+	for _, block := range set {
+		b.Set(block.Prefix, block.Target)
+	}
+	return b.Table(), nil
+}
+
+// differing returns the chunks that only one of two indexes has.
+func differing(a, b blocks.Index) (onlyA, onlyB []blocks.Ref) {
+	return a.Missing(b.Has()), b.Missing(a.Has())
+}
+
+func eachBlock(refs []blocks.Ref, chunks map[blocks.Hash][]byte, use func(blocks.Block)) error {
+	for _, ref := range refs {
+		list, err := blocks.Open(ref, chunks[ref.Hash])
+		if err != nil {
+			return errors.Wrapf(err, "chunk of %s", ref.Range)
+		}
+		for _, block := range list {
+			use(block)
+		}
+	}
+	return nil
+}
+
+func (s *blockStore) putInForce(hash string, x blocks.Index, objects map[blocks.Hash][]byte, t *lookup.Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.wanted != hash {
+		return
+	}
+	s.inForce, s.index, s.objects, s.since = hash, x, objects, time.Now()
+	s.pending = map[blocks.Hash][]byte{}
+	s.switches++
+	s.lastError = ""
+	s.table.Store(t)
+	s.log.Info("client blocks in force", "index", hash, "blocks", t.Len(), "chunks", len(x.Chunks))
+}
+
+// status is what operators see.
+func (s *blockStore) status() operator.BlocksStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := operator.BlocksStatus{
+		Source:    operator.BlocksNone,
+		Index:     s.inForce,
+		Chunks:    len(s.index.Chunks),
+		Since:     s.since,
+		Fetched:   s.fetched,
+		Switches:  s.switches,
+		Failures:  s.failures,
+		Served:    s.served,
+		LastError: s.lastError,
+	}
+	if s.wanted != s.inForce {
+		out.Wanted = s.wanted
+	}
+	if t := s.table.Load(); t != nil {
+		out.Blocks = t.Len()
+		out.Source = operator.BlocksInDocument
+		if s.inForce != "" {
+			out.Source = operator.BlocksInStore
+		}
+	}
+	return out
+}
+
+// storeSource reads client block objects from the object store.
+type storeSource struct{ objects platform.Objects }
+
+// Chunk implements blocks.Source.
+func (s storeSource) Chunk(ctx context.Context, h blocks.Hash) ([]byte, error) {
+	data, err := s.objects.GetObject(ctx, blockObject(h))
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, errors.Wrapf(blocks.ErrNotFound, "object %s", h)
+	}
+	return data, err
+}
+
+// peerSource reads client block objects from a peer.
+type peerSource struct {
+	entry *Entry
+	addr  string
+}
+
+// Chunk implements blocks.Source.
+func (p peerSource) Chunk(ctx context.Context, h blocks.Hash) ([]byte, error) {
+	res, err := p.entry.callPeer(ctx, p.addr, &wire.Request{Call: &wire.Request_BlockFetch{
+		BlockFetch: &wire.BlockFetch{Hash: h[:]},
+	}})
+	if err != nil {
+		return nil, err
+	}
+	packed := res.GetBlock().GetPacked()
+	if len(packed) == 0 {
+		return nil, errors.Wrapf(blocks.ErrNotFound, "object %s at %s", h, p.addr)
+	}
+	return packed, nil
+}
+
+// blockPeers are the other entry instances of this failure domain.
+func (e *Entry) blockPeers() []blocks.Source {
+	v := e.currentView()
+	if v == nil {
+		return nil
+	}
+	var out []blocks.Source
+	for _, id := range v.seats[e.settings.FailureDomain] {
+		if id != e.settings.ID {
+			out = append(out, peerSource{entry: e, addr: v.entries[id].PeerAddr})
+		}
+	}
+	return out
+}
+
+func (e *Entry) handleBlockFetch(f *wire.BlockFetch) *wire.Response {
+	var h blocks.Hash
+	if len(f.GetHash()) != len(h) {
+		return &wire.Response{Error: "hash of a wrong length"}
+	}
+	copy(h[:], f.GetHash())
+	packed := e.blocks.packed(h)
+	if packed != nil {
+		e.blocks.mu.Lock()
+		e.blocks.served++
+		e.blocks.mu.Unlock()
+	}
+	return &wire.Response{Reply: &wire.Response_Block{Block: &wire.BlockReply{Packed: packed}}}
+}
+
+// blockSeed differs between entry instances, so that several that start at once
+// ask different peers.
+func blockSeed(id string) uint64 {
+	h := blocks.HashOf([]byte(id))
+	return binary.BigEndian.Uint64(h[:])
+}
--- a/pkg/entry/callers.go
+++ b/pkg/entry/callers.go
@@ -97,6 +97,9 @@
 	if v == nil {
 		return nil, nil, refusal(ReasonNotReady, "no configuration known yet")
 	}
+	if v.blocks.Load() == nil {
+		return nil, nil, refusal(ReasonNotReady, "the client blocks are not complete yet")
+	}
 	contract, ok := v.contractOf(bearerToken(r))
 	if !ok {
 		return nil, nil, refusal(ReasonUnauthorized, "bearer token belongs to no contract")
@@ -110,7 +113,7 @@
 }
 
 func (e *Entry) rankEntries(v *view, addr netip.Addr) []LookupEntry {
-	from, ok := v.locator.Locate(addr)
+	from, ok := v.locate(addr)
 	if !ok {
 		from = e.settings.FailureDomain
 	}
@@ -205,7 +208,7 @@
 		return nil, refusal(ReasonNotReady, "no configuration known yet")
 	}
 	if !e.leaving.Load() && !e.configured() {
-		return nil, refusal(ReasonNotReady, "this entry instance has no seat yet, or has not heard from its peers")
+		return nil, refusal(ReasonNotReady, "this entry instance has no seat yet, has not heard from its peers, or lacks client blocks")
 	}
 	contract, ok := v.contractOf(bearerToken(r))
 	if !ok {
--- a/pkg/entry/configsync.go
+++ b/pkg/entry/configsync.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/lookup"
 	"github.com/dandelionrack/dandelionrack/pkg/wire"
 )
 
@@ -38,10 +41,11 @@
 	if old := e.currentView(); old != nil && old.doc.Version >= doc.Version {
 		return nil
 	}
-	v, err := newView(doc, e.settings.FailureDomain)
+	table, err := documentBlocks(&doc.Deployment)
 	if err != nil {
 		return err
 	}
+	v := newView(doc, e.settings.FailureDomain, &e.blocks.table)
 	now := time.Now()
 	e.membershipUpdate(func() { e.members.SetPeers(now, doc.Deployment.EntryInstances) })
 	e.applyLimits(v, now)
@@ -50,6 +54,12 @@
 	// Last, so that no request finds a view whose servers and limits are not
 	// known yet.
 	e.view.Store(v)
+	// After the view, which says which peers to ask.
+	if table == nil {
+		e.blocks.useIndex(doc.Deployment.ClientBlocksIndex)
+	} else {
+		e.blocks.useDocument(table)
+	}
 	select {
 	case e.serversChanged <- struct{}{}:
 	default:
@@ -58,6 +68,19 @@
 	return nil
 }
 
+// documentBlocks builds the table of the client blocks in a document, or returns
+// nil if it names an index instead.
+func documentBlocks(dep *config.Deployment) (*lookup.Table, error) {
+	if dep.ClientBlocksIndex != "" {
+		return nil, nil
+	}
+	table, err := lookup.Build(dep)
+	if err != nil {
+		return nil, errors.Wrap(err, "client blocks")
+	}
+	return table, nil
+}
+
 func (e *Entry) runConfigPoll(ctx context.Context) {
 	t := time.NewTicker(configPollInterval)
 	defer t.Stop()
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -44,6 +44,7 @@
 	view     atomic.Pointer[view]
 	fetching atomic.Bool
 
+	blocks   *blockStore
 	gate     *gate
 	limits   *limits
 	claims   *claim.Manager
@@ -122,6 +123,8 @@
 		spans:           trace.NewRing(trace.RingConfig{}),
 	}
 	e.store = configstore.New(e.platform, newRequestID)
+	e.blocks = newBlockStore(settings.BlocksBytesPerSecond, blockSeed(settings.ID), storeSource{e.platform}, e.log)
+	e.blocks.peers = e.blockPeers
 	e.limits = newLimits(now, settings.NoPredecessor)
 	e.archiver = trace.NewArchiver(trace.ArchiverConfig{Entry: settings.ID, Objects: e.platform, Logger: e.log})
 	e.claims = claim.NewManager(claim.Config{
@@ -220,6 +223,7 @@
 		e.runConfigPoll,
 		e.runHeartbeats,
 		e.runInstanceList,
+		e.blocks.run,
 		e.runWarm,
 		e.archiver.Run,
 	} {
@@ -282,6 +286,8 @@
 		return e.handleBurnQuery()
 	case *wire.Request_StatusQuery:
 		return e.handleStatusQuery(call.StatusQuery)
+	case *wire.Request_BlockFetch:
+		return e.handleBlockFetch(call.BlockFetch)
 	default:
 		return &wire.Response{Error: "unknown call"}
 	}
@@ -336,14 +342,15 @@
 }
 
 // configured reports whether a configuration is known and names this entry
-// instance, so that it has a seat.
+// instance, so that it has a seat, and whether its client blocks are complete:
+// a partial table would give callers the wrong home region.
 func (e *Entry) configured() bool {
 	v := e.currentView()
 	if v == nil {
 		return false
 	}
 	_, ok := v.entries[e.settings.ID]
-	return ok && e.metPeers(v)
+	return ok && v.blocks.Load() != nil && e.metPeers(v)
 }
 
 // meetingTime bounds the wait for the first heartbeats of peers after a start.
--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -58,6 +58,7 @@
 		"servers":              func() any { return e.serverStatus() },
 		"queues":               func() any { return e.queueLengths() },
 		"link_bytes_available": func() any { return e.linkBytes() },
+		"client_blocks":        func() any { return e.blocks.status() },
 	} {
 		e.metrics.publish(name, value)
 	}
@@ -115,6 +116,9 @@
 
 // SubmitChange implements operator.Backend.
 func (e *Entry) SubmitChange(ctx context.Context, ch config.Change, op config.Operation) (*config.Document, error) {
+	if err := e.checkBlocks(ctx, op); err != nil {
+		return nil, errors.Wrap(err, config.Describe(op))
+	}
 	doc, err := e.store.Submit(ctx, ch, op)
 	if err != nil {
 		return nil, err
@@ -374,6 +378,7 @@
 		ConfigVersion: e.configVersion(),
 		StartedAt:     e.started,
 		StoreOK:       !errors.Is(err, platform.ErrUnavailable) && err == nil,
+		ClientBlocks:  e.blocks.status(),
 	}
 	e.membersMu.Lock()
 	for _, st := range e.members.Peers(time.Now()) {
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -40,6 +40,9 @@
 	MaxBufferedBytes int64 `json:"max_buffered_bytes,omitempty"`
 	// MaxCallerConnections bounds open connections of callers.
 	MaxCallerConnections int `json:"max_caller_connections,omitempty"`
+	// BlocksBytesPerSecond bounds the fetch of client blocks that are not in the
+	// document.
+	BlocksBytesPerSecond int `json:"blocks_bytes_per_second,omitempty"`
 	// AllowClientAddress lets a caller name its address in the header
 	// Client-Address or, in a lookup, in the query, for callers behind a
 	// common address.
@@ -85,6 +88,9 @@
 	defaultMaxResponseBytes     = 4 << 20
 	defaultMaxBufferedBytes     = 32 << 20
 	defaultMaxCallerConnections = 4096
+	// At the planned size control traffic may use 12 KB/s, and the rest of it
+	// takes less than a third.
+	defaultBlocksBytesPerSecond = 8192
 )
 
 // SetDefaults fills in the optional settings that are zero.
@@ -104,6 +110,9 @@
 	if s.MaxCallerConnections == 0 {
 		s.MaxCallerConnections = defaultMaxCallerConnections
 	}
+	if s.BlocksBytesPerSecond == 0 {
+		s.BlocksBytesPerSecond = defaultBlocksBytesPerSecond
+	}
 	if s.LogLevel == "" {
 		s.LogLevel = "info"
 	}
@@ -169,6 +178,9 @@
 	if s.MaxBufferedBytes < 0 {
 		l.Add("max_buffered_bytes", "must not be negative")
 	}
+	if s.BlocksBytesPerSecond < 0 {
+		l.Add("blocks_bytes_per_second", "must not be negative")
+	}
 	if s.MaxCallerConnections < 0 {
 		l.Add("max_caller_connections", "must not be negative")
 	}
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -4,8 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net/netip"
-
-	"github.com/go-faster/errors"
+	"sync/atomic"
 
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/lookup"
@@ -14,29 +13,29 @@
 // view is what one version of the configuration means to this entry instance.
 // It is immutable, so that a request sees one version from start to end.
 type view struct {
-	doc       *config.Document
-	region    string // region of this entry instance
-	locator   *lookup.Table
+	doc    *config.Document
+	region string // region of this entry instance
+	// blocks holds the table of client blocks in force. It changes when the
+	// blocks of an index are complete, which is later than the document.
+	blocks    *atomic.Pointer[lookup.Table]
 	customers map[string]string // customer by token digest
 	entries   map[string]config.EntryInstance
 	servers   map[string]config.BackendServer
+	targets   map[string]bool     // regions and failure domains
 	regions   map[string]string   // region by failure domain
 	seats     map[string][]string // entry ids by failure domain
 	byService map[string][]config.BackendServer
 }
 
-func newView(doc *config.Document, failureDomain string) (*view, error) {
-	locator, err := lookup.Build(&doc.Deployment)
-	if err != nil {
-		return nil, errors.Wrap(err, "client blocks")
-	}
+func newView(doc *config.Document, failureDomain string, blocks *atomic.Pointer[lookup.Table]) *view {
 	v := &view{
 		doc:       doc,
 		region:    doc.Deployment.RegionOf(failureDomain),
-		locator:   locator,
+		blocks:    blocks,
 		customers: map[string]string{},
 		entries:   map[string]config.EntryInstance{},
 		servers:   map[string]config.BackendServer{},
+		targets:   targetsOf(&doc.Deployment),
 		regions:   map[string]string{},
 		seats:     map[string][]string{},
 		byService: map[string][]config.BackendServer{},
@@ -59,7 +58,7 @@
 			v.customers[digest] = customer
 		}
 	}
-	return v, nil
+	return v
 }
 
 // contractOf returns the contract that a bearer token belongs to. Only digests
@@ -76,12 +75,26 @@
 // homeRegion is the region of the client block that holds the address, or the
 // given region when no block does.
 func (v *view) homeRegion(addr netip.Addr, fallback string) string {
-	if fd, ok := v.locator.Locate(addr); ok {
-		if region, ok := v.regions[fd]; ok {
-			return region
-		}
+	target, ok := v.locate(addr)
+	if !ok {
+		return fallback
+	}
+	if region, ok := v.regions[target]; ok {
+		return region
+	}
+	return target
+}
+
+// locate returns the failure domain or region of the client block that holds
+// the address. A target that this version of the configuration does not define
+// counts as none: the table of an index follows the document with a delay.
+func (v *view) locate(addr netip.Addr) (string, bool) {
+	table := v.blocks.Load()
+	if table == nil {
+		return "", false
 	}
-	return fallback
+	target, ok := table.Locate(addr)
+	return target, ok && v.targets[target]
 }
 
 // linkBits is the capacity between two regions in bits per second.
--- a/pkg/lookup/rank.go
+++ b/pkg/lookup/rank.go
@@ -39,7 +39,8 @@
 // NewOrder sorts the entry instances. Without any ready one it holds those that
 // are unknown or not ready; without those, all others.
 //
-// If from is empty, the failure domain of self is used. Self counts as ready
+// From is a failure domain or a region; a name that is both means the failure
+// domain. If it is empty, the failure domain of self is used. Self counts as ready
 // when peers has no state for it.
 func NewOrder(dep *config.Deployment, from string, peers func(entry string) membership.State, self string) *Order {
 	if from == "" {
@@ -125,6 +126,10 @@
 
 func measure(dep *config.Deployment, from string, entries []config.EntryInstance) []candidate {
 	region := dep.RegionOf(from)
+	if region == "" {
+		// The target of a client block may also be a region.
+		region = from
+	}
 	delays := delaysFrom(dep, region)
 	out := make([]candidate, 0, len(entries))
 	for _, e := range entries {
--- a/pkg/lookup/table.go
+++ b/pkg/lookup/table.go
@@ -2,7 +2,7 @@
 // entry instances for it.
 //
 // The package is pure: it does no I/O and reads no clock. A Table does not
-// change after Build and is safe for concurrent use.
+// change after Build or Builder.Table and is safe for concurrent use.
 package lookup
 
 import (
@@ -15,18 +15,19 @@
 	"github.com/dandelionrack/dandelionrack/pkg/findings"
 )
 
-// Table maps client addresses to failure domains by longest prefix.
+// Table maps client addresses to failure domains, or to regions if it was made
+// by a Builder, by longest prefix.
 type Table struct {
 	// Values are indexes into domains, because a name in each of several
 	// hundred thousand entries would take four times the memory.
-	blocks  bart.Table[uint32]
+	blocks  *bart.Table[uint32]
 	domains []string
 }
 
 // Build makes the table of a deployment. Its error lists every client block
 // that is invalid.
 func Build(dep *config.Deployment) (*Table, error) {
-	t := &Table{}
+	t := &Table{blocks: &bart.Table[uint32]{}}
 	index := make(map[string]uint32, len(dep.FailureDomains))
 	for _, fd := range dep.FailureDomains {
 		index[fd.Name] = uint32(len(t.domains))
@@ -72,9 +73,8 @@
 	return netip.PrefixFrom(p.Addr().Unmap(), p.Bits()-mappedBits)
 }
 
-// Locate returns the failure domain of the longest client block that contains
-// addr.
-func (t *Table) Locate(addr netip.Addr) (failureDomain string, ok bool) {
+// Locate returns the target of the longest client block that contains addr.
+func (t *Table) Locate(addr netip.Addr) (target string, ok bool) {
 	i, ok := t.blocks.Lookup(addr.Unmap().WithZone(""))
 	if !ok {
 		return "", false
--- /dev/null
+++ b/pkg/lookup/update.go
@@ -0,0 +1,67 @@
+package lookup
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/gaissmai/bart"
+)
+
+// Builder makes a Table from blocks that were checked before. It is not safe
+// for concurrent use.
+type Builder struct {
+	table *Table
+	index map[string]uint32
+	// persistent is set while table shares nodes with another table.
+	persistent bool
+}
+
+// NewBuilder returns a builder of a new table.
+func NewBuilder() *Builder {
+	return &Builder{table: &Table{blocks: &bart.Table[uint32]{}}, index: map[string]uint32{}}
+}
+
+// Update returns a builder that starts with the blocks of this table. The
+// result shares all nodes that did not change with t, which stays as it is.
+// Each change copies the path to its node, so that many changes are cheaper
+// with NewBuilder.
+func (t *Table) Update() *Builder {
+	b := &Builder{
+		table:      &Table{blocks: t.blocks, domains: slices.Clone(t.domains)},
+		index:      make(map[string]uint32, len(t.domains)),
+		persistent: true,
+	}
+	for i, name := range t.domains {
+		b.index[name] = uint32(i)
+	}
+	return b
+}
+
+// Set maps a prefix to a target.
+func (b *Builder) Set(prefix netip.Prefix, target string) {
+	i, known := b.index[target]
+	if !known {
+		i = uint32(len(b.table.domains))
+		b.table.domains = append(b.table.domains, target)
+		b.index[target] = i
+	}
+	prefix = unmapPrefix(prefix).Masked()
+	if b.persistent {
+		b.table.blocks = b.table.blocks.InsertPersist(prefix, i)
+		return
+	}
+	b.table.blocks.Insert(prefix, i)
+}
+
+// Remove ends the mapping of a prefix.
+func (b *Builder) Remove(prefix netip.Prefix) {
+	prefix = unmapPrefix(prefix).Masked()
+	if b.persistent {
+		b.table.blocks = b.table.blocks.DeletePersist(prefix)
+		return
+	}
+	b.table.blocks.Delete(prefix)
+}
+
+// Table returns the table. The builder must not be used afterwards.
+func (b *Builder) Table() *Table { return b.table }
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -169,7 +169,13 @@
 // exchange sends one request and reads the whole reply.
 func (c *Client) exchange(ctx context.Context, method, path string, body any) ([]byte, int, error) {
 	var payload io.Reader
-	if body != nil {
+	contentType := "application/json"
+	switch b := body.(type) {
+	case nil:
+	case []byte:
+		contentType = "application/octet-stream"
+		payload = bytes.NewReader(b)
+	default:
 		data, err := json.Marshal(body)
 		if err != nil {
 			return nil, 0, errors.Wrap(err, "encode request")
@@ -181,7 +187,7 @@
 		return nil, 0, errors.Wrap(err, "make request")
 	}
 	req.Header.Set("Authorization", "Bearer "+c.token)
-	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Content-Type", contentType)
 	resp, err := c.service.DoRequest(req)
 	if err != nil {
 		return nil, 0, c.transportError(err)
--- a/pkg/operator/routes.go
+++ b/pkg/operator/routes.go
@@ -42,6 +42,8 @@
 		h.route(http.MethodGet, "/v1/routes", plain(b.Routes)),
 		h.route(http.MethodGet, "/v1/unresolved", plain(b.Unresolved)),
 		h.route(http.MethodGet, "/v1/status", plain(b.Status)),
+		h.route(http.MethodPost, "/v1/blocks/missing", h.missingBlocks),
+		h.route(http.MethodPut, "/v1/blocks/objects/:id", h.putBlock),
 	}
 }
 
--- a/pkg/operator/types.go
+++ b/pkg/operator/types.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/dandelionrack/dandelionrack/pkg/blocks"
 	"github.com/dandelionrack/dandelionrack/pkg/burn"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/trace"
@@ -29,6 +30,11 @@
 	Routes(ctx context.Context) (RoutesReport, error)
 	Unresolved(ctx context.Context) ([]UnresolvedClaim, error)
 	Status(ctx context.Context) (EntryStatus, error)
+	// MissingBlocks returns the hashes of which the object store has no client
+	// block object.
+	MissingBlocks(ctx context.Context, hashes []blocks.Hash) ([]blocks.Hash, error)
+	// PutBlock stores a packed client block object that has the hash.
+	PutBlock(ctx context.Context, hash blocks.Hash, packed []byte) error
 }
 
 // ChangeRequest is the body of POST /v1/changes.
@@ -133,6 +139,7 @@
 	StoreOK       bool           `json:"store_ok"`
 	Peers         []PeerStatus   `json:"peers"`
 	FreeSlots     map[string]int `json:"free_slots,omitempty"`
+	ClientBlocks  BlocksStatus   `json:"client_blocks"`
 }
 
 // PeerStatus is another entry instance as the answering one sees it.
