scenarios: planned work during faults, burn, TLS, limits, refusal reasons

Ten scripts for promises that had no run. Backend mode 'fail' answers a known number of runs with 500.

--- a/internal/standin/backend/run.go
+++ b/internal/standin/backend/run.go
@@ -139,6 +139,9 @@
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
+	if fault == faultStatus {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
 	_, _ = w.Write(body)
 }
 
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -205,6 +205,7 @@
 	faultNone answerFault = iota
 	faultClose
 	faultTruncate
+	faultStatus
 )
 
 // takeFault uses up one of the counted faults.
@@ -218,6 +219,9 @@
 	case s.mode.Truncate > 0:
 		s.mode.Truncate--
 		return faultTruncate
+	case s.mode.Fail > 0:
+		s.mode.Fail--
+		return faultStatus
 	default:
 		return faultNone
 	}
--- a/internal/standin/backend/settings.go
+++ b/internal/standin/backend/settings.go
@@ -102,6 +102,8 @@
 	// CloseAfterRun breaks the connection after each of the next runs
 	// instead of answering.
 	CloseAfterRun int `json:"close_after_run"`
+	// Fail answers each of the next runs with status 500 after it has ended.
+	Fail int `json:"fail"`
 	// DelayAnswer holds back each answer after its run has ended and its slot
 	// is free.
 	DelayAnswer config.Duration `json:"delay_answer"`
@@ -123,5 +125,5 @@
 	default:
 		return false
 	}
-	return m.Truncate >= 0 && m.CloseAfterRun >= 0 && m.DelayAnswer >= 0
+	return m.Truncate >= 0 && m.CloseAfterRun >= 0 && m.Fail >= 0 && m.DelayAnswer >= 0
 }
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -40,14 +40,21 @@
 	// LookupTTL of the entry instances.
 	LookupTTL time.Duration
 	LogLevel  string
-	// ContractChanges adjust the contract before it is applied.
+	// Contract adjusts the contract before it is applied.
 	Contract func(*config.Contract)
+	// LinkBits replaces the capacity of all links between regions; 0 keeps it.
+	LinkBits int64
+	// TLS protects the connections of operators and between entry instances,
+	// with an authority made for this bed.
+	TLS bool
 }
 
 // Bed is a running deployment. Its methods are safe for concurrent use.
 type Bed struct {
 	opts   Options
 	layout *layout
+	// authority is nil without TLS.
+	authority *authority
 
 	mu    sync.Mutex
 	procs map[string]*process
@@ -67,7 +74,7 @@
 func Start(ctx context.Context, opts Options) (*Bed, error) {
 	// The request log of httpc repeats what the results hold.
 	logx.Disable()
-	l, err := loadLayout(opts.Deployment, opts.Delays)
+	l, err := loadLayout(opts.Deployment, opts.Delays, opts.LinkBits)
 	if err != nil {
 		return nil, err
 	}
@@ -78,6 +85,12 @@
 		opts.LookupTTL = time.Second
 	}
 	b := &Bed{opts: opts, layout: l, procs: map[string]*process{}}
+	if opts.TLS {
+		if b.authority, err = newAuthority(opts.Dir, "authority"); err != nil {
+			b.Close()
+			return nil, err
+		}
+	}
 	if err := b.startAll(ctx); err != nil {
 		b.Close()
 		return nil, err
@@ -105,7 +118,7 @@
 		}
 	}
 	for _, in := range b.layout.deployment.EntryInstances {
-		if err := b.launchEntry(in, true); err != nil {
+		if err := b.launchEntry(in, true, CertificateGood); err != nil {
 			return err
 		}
 	}
@@ -149,9 +162,12 @@
 	return nil
 }
 
-func (b *Bed) launchEntry(in config.EntryInstance, fresh bool) error {
+func (b *Bed) launchEntry(in config.EntryInstance, fresh bool, kind Certificate) error {
 	s := b.layout.entrySettings(in, fresh, b.opts.LookupTTL)
 	s.LogLevel = b.opts.LogLevel
+	if err := b.secure(&s, in, kind); err != nil {
+		return err
+	}
 	return b.startProgram(in.ID, "drentry", s)
 }
 
@@ -246,15 +262,32 @@
 	}
 }
 
+// Ended returns the exit code of a process that has ended by itself.
+func (b *Bed) Ended(name string) (int, error) {
+	p, err := b.process(name)
+	if err != nil {
+		return 0, err
+	}
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode(), nil
+	default:
+		return 0, errors.Errorf("%s is running", name)
+	}
+}
+
 // StartEntry starts an entry instance again, as a replacement that knows
 // nothing of its predecessor. It does not wait for readiness.
-func (b *Bed) StartEntry(id string) error {
-	for _, in := range b.layout.deployment.EntryInstances {
-		if in.ID == id {
-			return b.launchEntry(in, false)
-		}
+func (b *Bed) StartEntry(id string) error { return b.StartEntryWith(id, CertificateGood) }
+
+// StartEntryWith starts an entry instance again with a certificate of a kind;
+// without TLS the kind has no effect.
+func (b *Bed) StartEntryWith(id string, kind Certificate) error {
+	in, err := b.EntryInstance(id)
+	if err != nil {
+		return err
 	}
-	return errors.Errorf("no entry instance %q", id)
+	return b.launchEntry(in, false, kind)
 }
 
 // WaitReady waits until an entry instance has a contract in force.
@@ -286,14 +319,14 @@
 
 // Operator returns a client of the operator API of an entry instance.
 func (b *Bed) Operator(id string) (*operator.Client, error) {
-	for _, in := range b.layout.deployment.EntryInstances {
-		if in.ID == id {
-			return operator.NewClient(operator.ClientConfig{
-				BaseURL: "http://" + in.OperatorAddr, Token: OperatorToken, Timeout: 10 * time.Second,
-			})
-		}
+	in, err := b.EntryInstance(id)
+	if err != nil {
+		return nil, err
 	}
-	return nil, errors.Errorf("no entry instance %q", id)
+	url, caFile := b.OperatorURL(in)
+	return operator.NewClient(operator.ClientConfig{
+		BaseURL: url, Token: OperatorToken, Timeout: 10 * time.Second, CAFile: caFile,
+	})
 }
 
 // Deployment is the deployment with the addresses of this bed.
@@ -381,6 +414,12 @@
 	return postJSON(ctx, "http://"+b.layout.linkAdminAddr()+"/admin/heal?prefix="+prefix, struct{}{})
 }
 
+// LinkReports reads the state and the counters of all links.
+func (b *Bed) LinkReports(ctx context.Context) ([]linkstandin.Report, error) {
+	var out []linkstandin.Report
+	return out, getJSON(ctx, "http://"+b.layout.linkAdminAddr()+"/admin/links", &out)
+}
+
 // Links returns the names of all links.
 func (b *Bed) Links() []string {
 	out := make([]string, 0, len(b.layout.links))
--- a/internal/testbed/layout.go
+++ b/internal/testbed/layout.go
@@ -62,7 +62,7 @@
 	StoreRegion string
 }
 
-func loadLayout(dir string, delays *Delays) (*layout, error) {
+func loadLayout(dir string, delays *Delays, linkBits int64) (*layout, error) {
 	l := &layout{
 		entryMaps:    map[string]map[string]string{},
 		callerMaps:   map[string]map[string]string{},
@@ -74,6 +74,7 @@
 	if err := settings.Load(filepath.Join(dir, "contract.json"), &l.contract, nil); err != nil {
 		return nil, err
 	}
+	l.setLinkBits(linkBits)
 	base, guard, err := reserveBase()
 	if err != nil {
 		return nil, err
@@ -84,6 +85,17 @@
 	return l, nil
 }
 
+// setLinkBits replaces the capacity of all links; 0 keeps it.
+func (l *layout) setLinkBits(bits int64) {
+	if bits == 0 {
+		return
+	}
+	l.deployment.DefaultLinkBitsPerSecond = bits
+	for i := range l.deployment.Links {
+		l.deployment.Links[i].BitsPerSecond = bits
+	}
+}
+
 // reserveBase finds a range of ports below the ephemeral range and holds its
 // last port as long as the bed runs. Checking only that a range is free let two
 // beds that started at the same moment choose the same one.
@@ -140,11 +152,11 @@
 // "peer/<from>/<to>", "platform/<entry>" and "caller/<domain>/<entry>".
 func (l *layout) addLinks(delays *Delays) {
 	next := l.base + linkOffset
-	add := func(name, target string, delay time.Duration, group string) string {
+	add := func(name, target string, p path) string {
 		listen := "127.0.0.1:" + strconv.Itoa(next)
 		next++
 		l.links = append(l.links, linkstandin.LinkSettings{
-			Name: name, Listen: listen, Target: target, Delay: config.Duration(delay), Group: group,
+			Name: name, Listen: listen, Target: target, Delay: config.Duration(p.delay), Group: p.group, Backward: p.backward,
 		})
 		return listen
 	}
@@ -158,15 +170,15 @@
 			if from.FailureDomain == to.FailureDomain {
 				continue
 			}
-			delay, group := l.pathBetween(from.FailureDomain, to.FailureDomain, d, delays != nil)
-			peers[to.PeerAddr] = add(linkName("peer", from.ID, to.ID), to.PeerAddr, delay, group)
+			between := l.pathBetween(from.FailureDomain, to.FailureDomain, d, delays != nil)
+			peers[to.PeerAddr] = add(linkName("peer", from.ID, to.ID), to.PeerAddr, between)
 		}
 		l.entryMaps[from.ID] = peers
 		delay := time.Duration(0)
 		if region := l.deployment.RegionOf(from.FailureDomain); delays != nil && region != d.StoreRegion {
 			delay = l.linkDelay(region, d.StoreRegion)
 		}
-		l.platformURLs[from.ID] = "http://" + add("platform/"+from.ID, l.platformAddr(), delay, "")
+		l.platformURLs[from.ID] = "http://" + add("platform/"+from.ID, l.platformAddr(), path{delay: delay})
 	}
 	for _, fd := range l.deployment.FailureDomains {
 		callers := map[string]string{}
@@ -175,7 +187,7 @@
 			if region := l.deployment.RegionOf(to.FailureDomain); delays != nil && region != fd.Region {
 				delay += l.linkDelay(region, fd.Region)
 			}
-			callers[to.CallerAddr] = add(linkName("caller", fd.Name, to.ID), to.CallerAddr, delay, "")
+			callers[to.CallerAddr] = add(linkName("caller", fd.Name, to.ID), to.CallerAddr, path{delay: delay})
 		}
 		l.callerMaps[fd.Name] = callers
 	}
@@ -183,20 +195,28 @@
 
 func linkName(parts ...string) string { return strings.Join(parts, "/") }
 
-// pathBetween returns the delay and the shared capacity between two failure
-// domains. The groups count the requests and answers of one region pair
-// together, each way.
-func (l *layout) pathBetween(a, b string, d Delays, shaped bool) (time.Duration, string) {
+// path is the delay of a link and the capacity that it shares.
+type path struct {
+	delay    time.Duration
+	group    string
+	backward bool
+}
+
+// pathBetween returns the path between two failure domains. All links between
+// two regions share one group "A>B", whichever side dials: the requests of one
+// region and its answers to the other use the same direction.
+func (l *layout) pathBetween(a, b string, d Delays, shaped bool) path {
 	ra, rb := l.deployment.RegionOf(a), l.deployment.RegionOf(b)
 	if !shaped {
-		return 0, ""
+		return path{}
 	}
 	if ra == rb {
-		return d.BetweenDomains, ""
+		return path{delay: d.BetweenDomains}
 	}
-	name := ra + ">" + rb
+	first, second := min(ra, rb), max(ra, rb)
+	name := first + ">" + second
 	l.addGroup(name, l.linkBits(ra, rb))
-	return l.linkDelay(ra, rb), name
+	return path{delay: l.linkDelay(ra, rb), group: name, backward: ra != first}
 }
 
 func (l *layout) addGroup(name string, bits int64) {
--- /dev/null
+++ b/internal/testbed/tls.go
@@ -0,0 +1,139 @@
+package testbed
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/entry"
+)
+
+// peerName is the DNS name in the certificates of all entry instances.
+const peerName = "entry.dandelionrack.test"
+
+// Certificate is the kind of certificate that an entry instance shows.
+type Certificate string
+
+// Kinds of certificates.
+const (
+	CertificateGood    Certificate = "good"
+	CertificateExpired Certificate = "expired"
+	// CertificateForeign is signed by another authority, the only one that
+	// the process trusts.
+	CertificateForeign Certificate = "foreign"
+	// CertificateNone shows none: the process speaks without TLS.
+	CertificateNone Certificate = "none"
+)
+
+// authority signs the certificates of one bed.
+type authority struct {
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	file string // holds the certificate
+}
+
+func newAuthority(dir, name string) (*authority, error) {
+	template := certificateTemplate(name, time.Now())
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	a := &authority{dir: dir, cert: template, file: filepath.Join(dir, name+".pem")}
+	var err error
+	if a.key, err = ecdsa.GenerateKey(elliptic.P256(), rand.Reader); err != nil {
+		return nil, err
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
+	if err != nil {
+		return nil, err
+	}
+	return a, writePEM(a.file, "CERTIFICATE", der)
+}
+
+func certificateTemplate(name string, start time.Time) *x509.Certificate {
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()),
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    start.Add(-time.Minute),
+		NotAfter:     start.Add(time.Hour),
+	}
+}
+
+// issue writes a new certificate of an entry instance, valid from about start.
+func (a *authority) issue(in config.EntryInstance, start time.Time) (certFile, keyFile string, err error) {
+	template := certificateTemplate(in.ID, start)
+	template.DNSNames = []string{peerName}
+	host, _, _ := net.SplitHostPort(in.OperatorAddr)
+	template.IPAddresses = []net.IP{net.ParseIP(host)}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return "", "", err
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		return "", "", err
+	}
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return "", "", err
+	}
+	certFile, keyFile = filepath.Join(a.dir, in.ID+".pem"), filepath.Join(a.dir, in.ID+".key")
+	if err := writePEM(certFile, "CERTIFICATE", der); err != nil {
+		return "", "", err
+	}
+	return certFile, keyFile, writePEM(keyFile, "EC PRIVATE KEY", keyDER)
+}
+
+func writePEM(file, kind string, der []byte) error {
+	return os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600)
+}
+
+// secure adds a new certificate of a kind to the settings of an entry instance.
+// Peers and operators of the bed trust the bed's own authority only.
+func (b *Bed) secure(s *entry.Settings, in config.EntryInstance, kind Certificate) error {
+	if b.authority == nil || kind == CertificateNone {
+		return nil
+	}
+	signer, start := b.authority, time.Now()
+	switch kind {
+	case CertificateGood:
+	case CertificateExpired:
+		start = start.Add(-2 * time.Hour)
+	case CertificateForeign:
+		var err error
+		if signer, err = newAuthority(b.opts.Dir, "foreign-authority"); err != nil {
+			return err
+		}
+	default:
+		return errors.Errorf("unknown kind of certificate %q", kind)
+	}
+	certFile, keyFile, err := signer.issue(in, start)
+	if err != nil {
+		return errors.Wrapf(err, "certificate of %s", in.ID)
+	}
+	s.TLS = &entry.TLSFiles{CertFile: certFile, KeyFile: keyFile}
+	s.PeerTLS = &entry.PeerTLSFiles{CertFile: certFile, KeyFile: keyFile, CAFile: signer.file, ServerName: peerName}
+	return nil
+}
+
+// OperatorURL is the base URL of the operator API of an entry instance, and
+// CAFile the authority of its certificate, empty without TLS.
+func (b *Bed) OperatorURL(in config.EntryInstance) (url, caFile string) {
+	if b.authority == nil {
+		return "http://" + in.OperatorAddr, ""
+	}
+	return "https://" + in.OperatorAddr, b.authority.file
+}
--- a/test/scenarios/args_test.go
+++ b/test/scenarios/args_test.go
@@ -104,6 +104,19 @@
 	return strings.Split(v, "|")
 }
 
+// rules splits a value of the form NAME:TEXT|NAME:TEXT.
+func (a *arguments) rules(name string) map[string]string {
+	out := map[string]string{}
+	for _, rule := range a.list(name) {
+		key, text, found := strings.Cut(rule, ":")
+		if !found {
+			a.fail(errors.Errorf("%s: %q lacks a colon", name, rule))
+		}
+		out[key] = text
+	}
+	return out
+}
+
 func (a *arguments) fail(err error) {
 	if a.problem == nil {
 		a.problem = err
--- a/test/scenarios/bed_test.go
+++ b/test/scenarios/bed_test.go
@@ -3,7 +3,6 @@
 import (
 	"path/filepath"
 	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
@@ -19,7 +18,8 @@
 )
 
 // cmdBed starts a deployment:
-// bed DEPLOYMENT [work=40ms] [body=2000] [ttl=1s] [cap_rate=SERVICE:RATE] [links]
+// bed DEPLOYMENT [work=40ms] [body=2000] [ttl=1s] [cap_rate=SERVICE:RATE]
+// [rate=SERVICE:RATE] [regions=SERVICE:REGION] [link_bits=N] [links] [tls]
 func cmdBed(s *scenario, _ *testscript.TestScript, a *arguments) error {
 	name := a.word("deployment")
 	opts := testbed.Options{
@@ -37,46 +37,60 @@
 	if a.flag("links") {
 		opts.Delays = testbed.DelaysOf(name)
 	}
-	change, err := rateChange(a.list("cap_rate"))
-	if err != nil {
-		return err
-	}
-	opts.Contract = change
+	opts.TLS = a.flag("tls")
+	opts.LinkBits = int64(a.number("link_bits", 0))
+	opts.Contract = contractChange(a)
 	if err := a.done(); err != nil {
 		return err
 	}
 	s.token = name + "-token"
+	var err error
 	s.bed, err = testbed.Start(s.ctx, opts)
 	return err
 }
 
-// rateChange sets the rate to which the shift cap of a service refers, so that
-// the cap fits the low rates of a scenario.
-func rateChange(rules []string) (func(*config.Contract), error) {
-	rates := map[string]float64{}
-	for _, rule := range rules {
-		name, text, _ := strings.Cut(rule, ":")
-		rate, err := strconv.ParseFloat(text, 64)
-		if err != nil {
-			return nil, errors.Wrap(err, "cap_rate")
-		}
-		rates[name] = rate
+// contractChange reads the rules that adjust services: the rate to which the
+// shift cap refers, so that the cap fits the low rates of a scenario, the rate
+// limit, and the one region that may serve.
+func contractChange(a *arguments) func(*config.Contract) {
+	caps, limits, regions := a.rules("cap_rate"), a.rules("rate"), a.rules("regions")
+	number := func(text string) float64 {
+		n, err := strconv.ParseFloat(text, 64)
+		a.fail(err)
+		return n
+	}
+	capRates, rates := map[string]float64{}, map[string]float64{}
+	for name, text := range caps {
+		capRates[name] = number(text)
+	}
+	for name, text := range limits {
+		rates[name] = number(text)
 	}
 	return func(c *config.Contract) {
 		for i := range c.Services {
-			if rate, ok := rates[c.Services[i].Name]; ok {
-				c.Services[i].ShiftCap.Rate = rate
+			svc := &c.Services[i]
+			if rate, ok := capRates[svc.Name]; ok {
+				svc.ShiftCap.Rate = rate
+			}
+			if rate, ok := rates[svc.Name]; ok {
+				svc.RatePerSecond = rate
+			}
+			if region, ok := regions[svc.Name]; ok {
+				svc.Regions = []string{region}
 			}
 		}
-	}, nil
+	}
 }
 
 // cmdEntry acts on an entry instance:
-// entry kill|start|pause|resume ID, or entry stop ID [within=30s] [as=NAME &]
+// entry kill|pause|resume ID, entry start ID [certificate=good|expired|foreign|none],
+// entry stop ID [within=30s] [as=NAME &], or entry ended ID [code=1]
 func cmdEntry(s *scenario, _ *testscript.TestScript, a *arguments) error {
 	verb, id := a.word("verb"), a.word("entry instance")
 	within := a.duration("within", 30*time.Second)
 	name := a.text("as", "stop of "+id)
+	code := int(a.number("code", 1))
+	certificate := testbed.Certificate(a.text("certificate", string(testbed.CertificateGood)))
 	if err := a.done(); err != nil {
 		return err
 	}
@@ -87,11 +101,17 @@
 		s.mu.Lock()
 		s.restarts = append(s.restarts, testbed.Restart{Entry: id, At: time.Now()})
 		s.mu.Unlock()
-		return s.bed.StartEntry(id)
+		return s.bed.StartEntryWith(id, certificate)
 	case "pause":
 		return s.bed.Signal(id, syscall.SIGSTOP)
 	case "resume":
 		return s.bed.Signal(id, syscall.SIGCONT)
+	case "ended":
+		have, err := s.bed.Ended(id)
+		if err == nil && have != code {
+			err = errors.Errorf("exit code %d, want %d", have, code)
+		}
+		return err
 	case "stop":
 		return s.start(name, a.background, func() ([]loadgen.Result, error) {
 			return nil, s.stop(id, within)
--- a/test/scenarios/operator_test.go
+++ b/test/scenarios/operator_test.go
@@ -29,20 +29,37 @@
 	a.words = a.words[:split]
 	id := a.text("entry", s.bed.Deployment().EntryInstances[0].ID)
 	want := int(a.number("code", 0))
-	in, err := s.bed.EntryInstance(id)
-	a.fail(err)
 	if err := a.done(); err != nil {
 		return err
 	}
-	tokenFile := filepath.Join(s.dir, "operator-token")
-	if err := os.WriteFile(tokenFile, []byte(testbed.OperatorToken+"\n"), 0o600); err != nil {
+	all, err := s.drctlArguments(id)
+	if err != nil {
 		return err
 	}
-	all := append([]string{"--server", "http://" + in.OperatorAddr, "--token-file", tokenFile}, rest...)
-	err = ts.Exec(filepath.Join(binDir, "drctl"), all...)
+	err = ts.Exec(drctlPath(), append(all, rest...)...)
 	return exitedWith(err, want)
 }
 
+func drctlPath() string { return filepath.Join(binDir, "drctl") }
+
+// drctlArguments are the options by which drctl reaches an entry instance.
+func (s *scenario) drctlArguments(id string) ([]string, error) {
+	in, err := s.bed.EntryInstance(id)
+	if err != nil {
+		return nil, err
+	}
+	tokenFile := filepath.Join(s.dir, "operator-token")
+	if err := os.WriteFile(tokenFile, []byte(testbed.OperatorToken+"\n"), 0o600); err != nil {
+		return nil, err
+	}
+	url, caFile := s.bed.OperatorURL(in)
+	out := []string{"--server", url, "--token-file", tokenFile}
+	if caFile != "" {
+		out = append(out, "--ca-file", caFile)
+	}
+	return out, nil
+}
+
 func exitedWith(err error, want int) error {
 	code := 0
 	if exit := (*exec.ExitError)(nil); errors.As(err, &exit) {
--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -100,6 +100,7 @@
 		return err
 	}
 	env.Setenv("DEPLOY", deploy)
+	env.Setenv("BED", dir)
 	ctx, cancel := context.WithCancel(context.Background())
 	s := newScenario(ctx, dir)
 	env.Values[scenarioKey{}] = s
--- a/test/scenarios/state_test.go
+++ b/test/scenarios/state_test.go
@@ -29,6 +29,8 @@
 	marks    map[string]time.Time
 	restarts []testbed.Restart
 	callers  map[string]*loadgen.Caller
+	// samples are the readings of "metering", oldest first.
+	samples []linkSample
 	// watched holds what "watch" saw.
 	watched []string
 }
@@ -77,6 +79,7 @@
 		"audit":      cmdAudit,
 		"backend":    cmdBackend,
 		"bed":        cmdBed,
+		"burn":       cmdBurn,
 		"busy":       cmdBusy,
 		"call":       cmdCall,
 		"chaos":      cmdChaos,
@@ -87,19 +90,24 @@
 		"expect":     cmdExpect,
 		"free":       cmdFree,
 		"heal":       cmdHeal,
+		"hedges":     cmdHedges,
 		"idle":       cmdIdle,
 		"instances":  cmdInstances,
 		"issuekey":   cmdIssueKey,
 		"key":        cmdKey,
 		"link":       cmdLink,
+		"linkbytes":  cmdLinkBytes,
 		"load":       cmdLoad,
 		"mark":       cmdMark,
+		"metering":   cmdMetering,
 		"pass":       cmdPass,
 		"platform":   cmdPlatform,
 		"race":       cmdRace,
+		"ratelimit":  cmdRateLimit,
 		"ready":      cmdReady,
 		"retried":    cmdRetried,
 		"runs":       cmdRuns,
+		"stall":      cmdStall,
 		"watch":      cmdWatch,
 	}
 }
