httpserver: cut off clients that stop reading their answers

Cause: nothing bounded the write of an answer. A caller that stops reading kept its handler and its answer in memory without end, and the graceful stop waited for it without a limit. Ruled out: http.Server.WriteTimeout, which starts with the request and would cut answers of long requests; a deadline per answer, which does not get through go-zero's response writer.

--- a/pkg/httpserver/httpserver.go
+++ b/pkg/httpserver/httpserver.go
@@ -24,8 +24,11 @@
 	// defaultReadTimeout is enough for 1 MiB at 300 kbit/s. Without it a
 	// stalled body holds its handler and its memory without end.
 	defaultReadTimeout = 30 * time.Second
-	idleTimeout        = 2 * time.Minute
-	maxHeaderBytes     = 32 << 10
+	// defaultStallTimeout is the same for answers. Without it a client that
+	// stops reading holds its answer in memory and keeps Shutdown from ending.
+	defaultStallTimeout = 30 * time.Second
+	idleTimeout         = 2 * time.Minute
+	maxHeaderBytes      = 32 << 10
 )
 
 // goZeroForceQuit keeps go-zero's own signal handler, which cannot be
@@ -49,6 +52,9 @@
 	// ReadTimeout bounds the time to receive a whole request; 0 means 30 s. It
 	// does not bound the handler.
 	ReadTimeout time.Duration
+	// StallTimeout bounds the time in which a client takes nothing of its
+	// answer; 0 means 30 s.
+	StallTimeout time.Duration
 }
 
 // Server serves one listener.
@@ -94,6 +100,9 @@
 	if cfg.ReadTimeout <= 0 {
 		cfg.ReadTimeout = defaultReadTimeout
 	}
+	if cfg.StallTimeout <= 0 {
+		cfg.StallTimeout = defaultStallTimeout
+	}
 	return &Server{
 		cfg: cfg,
 		http: &http.Server{
@@ -118,7 +127,7 @@
 
 // Serve accepts connections until Shutdown. It returns nil after a shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	l = limitConnections(l, s.cfg.MaxConnections)
+	l = stallListener{limitConnections(l, s.cfg.MaxConnections), s.cfg.StallTimeout}
 	var err error
 	if s.cfg.TLS != nil {
 		err = s.http.ServeTLS(l, "", "")
--- a/pkg/httpserver/httpserver_test.go
+++ b/pkg/httpserver/httpserver_test.go
@@ -43,3 +43,38 @@
 		require.NoError(t, c.Close())
 	}
 }
+
+// Guards against a client that never reads its answer and so keeps the server
+// from stopping, and against a bound that cuts the answer of a slow client.
+func TestStalledAnswer(t *testing.T) {
+	const stall, size = 300 * time.Millisecond, 32 << 20
+	s, err := New(Config{Name: "test", StallTimeout: stall, Fallback: func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, size))
+	}})
+	require.NoError(t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = s.Serve(l) }()
+	request := func() net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		_, err = io.WriteString(c, "GET /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+		require.NoError(t, err)
+		return c
+	}
+	slow, stalled := request(), request()
+	defer func() { _ = stalled.Close() }()
+	got, part := 0, make([]byte, 1<<20)
+	for {
+		n, err := io.ReadFull(slow, part)
+		got += n
+		if err != nil {
+			break
+		}
+		time.Sleep(stall / 10)
+	}
+	require.Greater(t, got, size)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*stall)
+	defer cancel()
+	require.NoError(t, s.Shutdown(ctx))
+}
