--- a/test/scenarios/check_test.go
+++ b/test/scenarios/check_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -19,12 +20,13 @@
 // cmdExpect checks the results of a call or a load:
 // expect NAME [outcome=A|B] [reason=A|B] [status=N] [entry=ID] [within=D]
 // [same_body=CALL] [next_key] [whole] [min=N] [answered=99.9%] [unknown=MAX]
-// [not_run=MAX] [client=DOMAIN] [after=MOMENT] [before=MOMENT]
+// [not_run=MAX] [client=DOMAIN] [after=MOMENT] [before=MOMENT] [refused=REASON:99%]
 //
 // outcome, reason, status and within hold for every selected result; answered
 // is the least share of answers, unknown and not_run the largest numbers.
 // whole requires that each answer is complete and names its own request.
-// reason holds for results that have one.
+// reason holds for results that have one. refused gives a reason and its least
+// share of the refusals.
 func cmdExpect(s *scenario, _ *testscript.TestScript, a *arguments) error {
 	j, err := s.finished(a.word("name"))
 	if err != nil {
@@ -106,6 +108,13 @@
 	if least := a.number("answered", 0); 100*float64(good) < least*float64(len(results)) {
 		return errors.Errorf("%d of %d answered: %s", good, len(results), describe(results))
 	}
+	for reason, share := range a.rules("refused") {
+		least, err := strconv.ParseFloat(strings.TrimSuffix(share, "%"), 64)
+		a.fail(err)
+		if n := countReason(results, reason); 100*float64(n) < least*float64(count[loadgen.OutcomeNotRun]) {
+			return errors.Errorf("%d of %d refused as %s: %s", n, count[loadgen.OutcomeNotRun], reason, describe(results))
+		}
+	}
 	for _, outcome := range []string{loadgen.OutcomeUnknown, loadgen.OutcomeNotRun} {
 		if most := a.number(outcome, -1); most >= 0 && float64(count[outcome]) > most {
 			return errors.Errorf("%d %s: %s", count[outcome], outcome, describe(results))
@@ -114,6 +123,16 @@
 	return nil
 }
 
+func countReason(results []loadgen.Result, reason string) int {
+	n := 0
+	for _, r := range results {
+		if r.Outcome == loadgen.OutcomeNotRun && r.Reason == reason {
+			n++
+		}
+	}
+	return n
+}
+
 // expectWhole requires that each answer is a whole body of the stand-in that
 // names the request. A recorded answer names the request of the first attempt.
 func expectWhole(results []loadgen.Result, a *arguments) error {
--- a/test/scenarios/state_test.go
+++ b/test/scenarios/state_test.go
@@ -31,6 +31,8 @@
 	callers  map[string]*loadgen.Caller
 	// samples are the readings of "metering", oldest first.
 	samples []linkSample
+	// told holds the ends of "changes" by name.
+	told map[string][]toldChange
 	// watched holds what "watch" saw.
 	watched []string
 }
@@ -52,6 +54,7 @@
 		keys:    map[string]string{},
 		marks:   map[string]time.Time{},
 		callers: map[string]*loadgen.Caller{},
+		told:    map[string][]toldChange{},
 	}
 }
 
@@ -82,6 +85,7 @@
 		"burn":       cmdBurn,
 		"busy":       cmdBusy,
 		"call":       cmdCall,
+		"changes":    cmdChanges,
 		"chaos":      cmdChaos,
 		"cut":        cmdCut,
 		"drctl":      cmdDrctl,
@@ -108,6 +112,7 @@
 		"retried":    cmdRetried,
 		"runs":       cmdRuns,
 		"stall":      cmdStall,
+		"truthful":   cmdTruthful,
 		"watch":      cmdWatch,
 	}
 }
