--- a/test/scenarios/state_test.go
+++ b/test/scenarios/state_test.go
@@ -29,6 +29,10 @@
 	marks    map[string]time.Time
 	restarts []testbed.Restart
 	callers  map[string]*loadgen.Caller
+	// samples are the readings of "metering", oldest first.
+	samples []linkSample
+	// told holds the ends of "changes" by name.
+	told map[string][]toldChange
 	// watched holds what "watch" saw.
 	watched []string
 }
@@ -50,6 +54,7 @@
 		keys:    map[string]string{},
 		marks:   map[string]time.Time{},
 		callers: map[string]*loadgen.Caller{},
+		told:    map[string][]toldChange{},
 	}
 }
 
@@ -78,8 +83,10 @@
 		"backend":    cmdBackend,
 		"bed":        cmdBed,
 		"blockfile":  cmdBlockFile,
+		"burn":       cmdBurn,
 		"busy":       cmdBusy,
 		"call":       cmdCall,
+		"changes":    cmdChanges,
 		"chaos":      cmdChaos,
 		"cut":        cmdCut,
 		"drctl":      cmdDrctl,
@@ -88,20 +95,26 @@
 		"expect":     cmdExpect,
 		"free":       cmdFree,
 		"heal":       cmdHeal,
+		"hedges":     cmdHedges,
 		"idle":       cmdIdle,
 		"instances":  cmdInstances,
 		"issuekey":   cmdIssueKey,
 		"key":        cmdKey,
 		"link":       cmdLink,
+		"linkbytes":  cmdLinkBytes,
 		"load":       cmdLoad,
 		"located":    cmdLocated,
 		"mark":       cmdMark,
+		"metering":   cmdMetering,
 		"pass":       cmdPass,
 		"platform":   cmdPlatform,
 		"race":       cmdRace,
+		"ratelimit":  cmdRateLimit,
 		"ready":      cmdReady,
 		"retried":    cmdRetried,
 		"runs":       cmdRuns,
+		"stall":      cmdStall,
+		"truthful":   cmdTruthful,
 		"watch":      cmdWatch,
 	}
 }
