--- a/pkg/entry/blockstore.go
+++ b/pkg/entry/blockstore.go
@@ -20,7 +20,7 @@
 const (
 	// blockObjectPrefix begins the names of client block objects in the object
 	// store; the SHA-256 of the unpacked content follows.
-	blockObjectPrefix = "blocks-"
+	blockObjectPrefix = "blocks/"
 	// Delays before a failed fetch is tried again.
 	blockRetryFirst = 250 * time.Millisecond
 	blockRetryMax   = 10 * time.Second
--- a/pkg/entry/blockstore_test.go
+++ b/pkg/entry/blockstore_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -187,6 +188,20 @@
 	return (&findings.Error{Findings: api.Findings}).Error()
 }
 
+// Guards against a home region that the configuration does not define, while
+// the table in force is older than the document.
+func TestUnknownTargetIsNoHomeRegion(t *testing.T) {
+	var table atomic.Pointer[lookup.Table]
+	b := lookup.NewBuilder()
+	b.Set(netip.MustParsePrefix("20.0.0.0/24"), "gone")
+	b.Set(netip.MustParsePrefix("20.0.1.0/24"), "r1")
+	table.Store(b.Table())
+	doc := &config.Document{Deployment: config.Deployment{Regions: []config.Region{{Name: "r1"}}}}
+	v := newView(doc, "d1", &table)
+	require.Equal(t, "r2", v.homeRegion(netip.MustParseAddr("20.0.0.1"), "r2"))
+	require.Equal(t, "r1", v.homeRegion(netip.MustParseAddr("20.0.1.1"), "r2"))
+}
+
 // Guards against an accepted index whose table no entry instance can build,
 // and against a new entry instance that answers before its table is complete.
 func TestIndexNeedsItsObjects(t *testing.T) {
--- a/pkg/lookup/lookup_test.go
+++ b/pkg/lookup/lookup_test.go
@@ -267,3 +267,13 @@
 		}
 	})
 }
+
+// Guards against callers of a block that names a region who are sent elsewhere.
+func TestRegionAsTarget(t *testing.T) {
+	dep := rankDeployment()
+	for _, region := range []string{"r0", "r1", "r2"} {
+		order := NewOrder(dep, region, allReady, dep.EntryInstances[0].ID)
+		first := order.Top(netip.MustParseAddr("10.0.0.1"), 1)[0]
+		require.Equal(t, region, dep.RegionOf(first.FailureDomain))
+	}
+}
