claim: evict entry-issued keys and claim old ones in the store

Cause: an owner kept every entry-issued key for 24 h and refused new ones at 100,000, so it could take 1.16 keys/s. It also judged the age of keys by the wall clock: after a step back by more than 23 h 50 min a key was accepted again whose row had expired, and ran twice.

Now the owner drops finished claims whose row is written, oldest key first, and remembers the latest creation time among them. A key of its own at or below that time that is not in memory is claimed in the table service like a caller-made one. The age of keys is judged by a clock that never goes back and advances with the monotonic clock; NewKey issues keys by it, at most 5 min ahead of the wall clock. A claim whose key expired while it waited is not written. An incarnation whose clock stepped forward by more than 12 h does not seal itself, because its keys may outlive their rows.

An owner now writes not_run rows for entry-issued keys too, so a not_run row proves "never ran" only if it came from a seal (no attempt id). Reads lag, so Lookup writes a not_run row again on its version before it answers not run, and the entry does not give that answer if the owner may have got the request.

Ruled out: evicting in the order of the writes. A caller can date a key up to 10 min ahead, and its eviction would make every fresh key need the store.

TestIssuedMemory demanded the refusal of a new key at the limit and key_expired for an evicted key. Both are no longer right; it now demands eviction and the recorded answer, and the outage cases are in TestIssuedMemoryInOutage. In TestAtMostOnce rows expire, so two limits are modelled: a write lands within an hour after it was sent, and the store works once before hours pass (a result that is not written before its claim row expires is lost, as before).

--- a/pkg/claim/bench_test.go
+++ b/pkg/claim/bench_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/dandelionrack/dandelionrack/pkg/platform"
 )
 
 // BenchmarkCommit measures one of eleven entries: each key is claimed,
@@ -55,3 +58,64 @@
 	}
 	d.Ticket.Done(Result{Status: 200, Body: []byte("paid")})
 }
+
+// discardTable accepts every transaction after a round trip and keeps no row,
+// so that the heap holds the records of the manager only.
+type discardTable struct{ platform.Table }
+
+func (discardTable) Commit(ctx context.Context, _ platform.Tx) error {
+	return sleep(ctx, 2*time.Millisecond)
+}
+
+// BenchmarkIssuedKeys measures one of eight entries that serves entry-issued
+// keys after its memory is full: accepted keys per second, and heap bytes per
+// key in memory. It stops when no key was accepted for three seconds. Run it
+// with -benchtime=1x.
+func BenchmarkIssuedKeys(b *testing.B) {
+	const measured = 10 * time.Second
+	for range b.N {
+		heap := heapInUse()
+		self := Incarnation{Entry: "entry-1", Number: 7}
+		m := NewManager(Config{Self: self, Table: discardTable{}, Entries: func() int { return 8 }})
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = m.Run(ctx) }()
+		for range defaultMaxIssued {
+			benchmarkIssued(ctx, m)
+		}
+		started := time.Now()
+		last, accepted := started, 0
+		for time.Since(started) < measured && time.Since(last) < 3*time.Second {
+			if benchmarkIssued(ctx, m) {
+				last = time.Now()
+				accepted++
+			} else {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		b.ReportMetric(float64(accepted)/time.Since(started).Seconds(), "keys/s")
+		b.ReportMetric(float64(m.Stats().Transactions)/time.Since(started).Seconds(), "tx/s")
+		if err := m.Flush(ctx); err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(heapInUse()-heap)/float64(m.Stats().Issued), "heap-B/key")
+		cancel()
+	}
+}
+
+func benchmarkIssued(ctx context.Context, m *Manager) bool {
+	k := issuedKeyOf(m, time.Now())
+	d := m.Begin(ctx, idOf(k), k, testFP)
+	if d.Verdict != Run || d.Ticket.Dispatch(time.Now()) != nil {
+		return false
+	}
+	d.Ticket.Done(Result{Status: 200, Body: []byte("paid")})
+	return true
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
--- a/pkg/claim/committer.go
+++ b/pkg/claim/committer.go
@@ -210,6 +210,12 @@
 }
 
 func (m *Manager) add(g *group, rec *record, now time.Time) {
+	// The row of an earlier run may have expired while the claim waited in a
+	// process that was paused.
+	if rec.machine.phase == claiming && m.keyTime().Sub(rec.created) > MaxKeyAge {
+		m.apply(rec, rec.machine.abandon(ReasonKeyExpired, "the key expired before the claim was written"))
+		return
+	}
 	r := rec.machine.take(now)
 	if r == nil {
 		return // nothing left to write since it was queued
--- a/pkg/claim/doc.go
+++ b/pkg/claim/doc.go
@@ -12,8 +12,12 @@
 //   - An incarnation forgets a caller-made key only when no write of the key is
 //     in doubt. A "claimed" row of this incarnation whose attempt is not in
 //     memory was therefore never dispatched and may be claimed again.
-//   - An entry-issued key is dispatched only by its owner, which remembers every
-//     finished key until the age limit refuses the key.
+//   - An entry-issued key is dispatched only by its owner. The owner remembers
+//     every key that it ran, or has its row in the store and remembers a time at
+//     or after the creation of the key. A key that is not in memory and is not
+//     newer than that time is claimed in the store like a caller-made one.
+//   - The age of a key is judged by a clock that never goes back, so that a key
+//     is refused for good before its row expires.
 //     Another entry answers "not run" for such a key only if the owner sealed
 //     itself after every dispatched key had a row, and the key has none.
 //   - A ticket ends once, and a ticket that has ended cannot be dispatched.
--- a/pkg/claim/fake_test.go
+++ b/pkg/claim/fake_test.go
@@ -19,9 +19,17 @@
 	before func(context.Context) error
 	after  func(context.Context) error
 	reads  int
+	// clock, when set, makes rows expire by their TTL.
+	clock   func() time.Time
+	expires map[string]time.Time
+	// lag, when set, is how many versions behind a read is.
+	lag     func() int
+	history map[string][]platform.Row
 }
 
-func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
+func newFakeTable() *fakeTable {
+	return &fakeTable{rows: map[string]platform.Row{}, expires: map[string]time.Time{}}
+}
 
 func (f *fakeTable) Commit(ctx context.Context, tx platform.Tx) error {
 	f.mu.Lock()
@@ -44,6 +52,10 @@
 func (f *fakeTable) apply(tx platform.Tx) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.history == nil {
+		f.history = map[string][]platform.Row{}
+	}
+	f.expire()
 	var conflict platform.ConflictError
 	for _, c := range tx.Conditions {
 		if r := f.rows[c.Key]; r.Version != c.Version {
@@ -55,11 +67,37 @@
 		return &conflict
 	}
 	for _, p := range tx.Puts {
+		f.history[p.Key] = append(f.history[p.Key], f.rows[p.Key])
 		f.rows[p.Key] = platform.Row{Key: p.Key, Version: f.rows[p.Key].Version + 1, Value: p.Value}
+		if f.clock != nil {
+			f.expires[p.Key] = f.clock().Add(p.TTL)
+		}
 	}
 	return nil
 }
 
+func (f *fakeTable) expire() {
+	for key, at := range f.expires {
+		if f.clock().After(at) {
+			delete(f.rows, key)
+			delete(f.expires, key)
+		}
+	}
+}
+
+// read returns the row as it was some versions ago.
+func (f *fakeTable) read(key string) platform.Row {
+	r := f.rows[key]
+	if f.lag == nil {
+		return r
+	}
+	old := f.history[key]
+	if lag := min(f.lag(), len(old)); lag > 0 {
+		return old[len(old)-lag]
+	}
+	return r
+}
+
 // claimedRows counts the rows in state claimed.
 func (f *fakeTable) claimedRows() int {
 	f.mu.Lock()
@@ -77,8 +115,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reads++
-	r, ok := f.rows[key]
-	if !ok {
+	f.expire()
+	r := f.read(key)
+	if r.Version == 0 {
 		return r, platform.ErrNotFound
 	}
 	return r, nil
--- a/pkg/claim/lookup.go
+++ b/pkg/claim/lookup.go
@@ -34,12 +34,23 @@
 	}
 	stored, err := m.cfg.Table.Get(ctx, id.rowKey())
 	if errors.Is(err, platform.ErrNotFound) {
-		return m.lookupSealed(ctx, id, key)
+		return m.lookupSealed(ctx, id, key, 0)
 	}
 	if err != nil {
 		return unknownDecision("the claim cannot be read: " + err.Error())
 	}
-	return storedDecision(stored, key)
+	r, err := decodeRow(stored.Value)
+	switch {
+	case err != nil:
+		return unknownDecision(err.Error())
+	case r.State != stateNotRun || r.sealed(key):
+		return lookupDecision(r, key)
+	case key.Issued:
+		return m.lookupSealed(ctx, id, key, stored.Version)
+	}
+	// Reads lag, so the key may have run since. Writing the row again proves
+	// that it is the current one.
+	return m.confirmNotRun(ctx, id, key, stored.Version, r)
 }
 
 func storedDecision(stored platform.Row, key Key) Decision {
@@ -59,8 +70,10 @@
 	switch r.State {
 	case stateNotRun:
 		d = refuse(r.Reason, r.Detail)
-		// A not_run row of an entry-issued key exists only after a seal.
-		d.NeverRun = key.Issued
+		d.NeverRun = r.sealed(key)
+		if key.Issued && !d.NeverRun {
+			d = unknownDecision("the owner of the key may run it again")
+		}
 	case stateClaimed:
 		d = unknownDecision("claimed by " + r.Entry + " without a result")
 	default:
--- a/pkg/claim/machine.go
+++ b/pkg/claim/machine.go
@@ -28,7 +28,9 @@
 // machine is the state of one key in one incarnation. Its methods take
 // messages and return effects; it does no I/O and reads no clock.
 type machine struct {
-	self    Incarnation
+	self Incarnation
+	// issued means that the claim is held in memory only: an entry-issued key
+	// of this incarnation that is newer than every evicted one.
 	issued  bool
 	fp      Fingerprint
 	phase   phase
--- a/pkg/claim/manager.go
+++ b/pkg/claim/manager.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"container/heap"
 	"context"
 	"sync"
 	"time"
@@ -36,6 +37,9 @@
 	ReadBudget  float64
 	Logger      hclog.Logger
 	Now         func() time.Time
+	// Elapsed is a monotonic clock, which steps of the wall clock do not
+	// change. The default is the time since NewManager.
+	Elapsed func() time.Duration
 	// Live reports whether an incarnation is known to be alive. Without it,
 	// Unresolved counts every other incarnation as dead.
 	Live func(Incarnation) bool
@@ -63,6 +67,10 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Elapsed == nil {
+		started := time.Now()
+		c.Elapsed = func() time.Duration { return time.Since(started) }
+	}
 	if c.Entries == nil {
 		c.Entries = func() int { return 1 }
 	}
@@ -94,9 +102,11 @@
 	background []*record
 	retry      []*record
 	copied     []*record // entry-issued results that the store has, oldest first
+	evictable  byCreation
 	// evictedThrough is the latest creation time of an evicted entry-issued
-	// key. A clock that steps back cannot make such a key acceptable again.
+	// key. Only the store knows whether an older key that is not in memory ran.
 	evictedThrough time.Time
+	keys           keyClock
 	lastSweep      time.Time
 	outage         int    // consecutive failed transactions
 	failures       uint64 // counted failures since the start
@@ -120,6 +130,8 @@
 	bytes    int
 	// stripped means that the result was dropped because the store has it.
 	stripped bool
+	// forgotten means that the record left memory; lists may still hold it.
+	forgotten bool
 }
 
 // Stats are counters for expvar.
@@ -133,7 +145,9 @@
 	LostReplies  uint64 `json:"lost_replies"`
 	Unavailable  uint64 `json:"unavailable"`
 	Reads        uint64 `json:"reads"`
-	Violations   uint64 `json:"violations"`
+	// Evicted counts the entry-issued keys that left memory for new ones.
+	Evicted    uint64 `json:"evicted"`
+	Violations uint64 `json:"violations"`
 }
 
 // NewManager returns a manager whose writes start with Run.
@@ -170,7 +184,7 @@
 	if ctx.Err() != nil {
 		return refuse(ReasonDeadline, "the deadline passed before the claim")
 	}
-	if err := key.CheckAge(m.cfg.Now()); err != nil {
+	if err := m.checkAge(key); err != nil {
 		return refuse(ReasonKeyExpired, err.Error())
 	}
 	if key.Issued && key.Owner != m.cfg.Self {
@@ -188,6 +202,12 @@
 	return awaitResult(ctx, t)
 }
 
+func (m *Manager) checkAge(key Key) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return key.CheckAge(m.keyTime())
+}
+
 // join starts an attempt (leads is true), attaches to one, or answers from
 // memory. A Recorded decision without a result is in the store only.
 func (m *Manager) join(id ID, key Key, fp Fingerprint) (t *Ticket, leads bool, d Decision) {
@@ -196,12 +216,18 @@
 	if m.closed {
 		return nil, false, refuse(ReasonNotReady, "the entry instance is stopping")
 	}
+	// Again under the lock: the record of a key that expired since Begin may
+	// have been dropped.
+	if err := key.CheckAge(m.keyTime()); err != nil {
+		return nil, false, refuse(ReasonKeyExpired, err.Error())
+	}
 	rec := m.records[id]
 	if rec == nil {
-		if d := m.admit(key); d.Verdict != 0 {
+		inMemory := key.Issued && !m.needsStore(key)
+		if d := m.admit(inMemory); d.Verdict != 0 {
 			return nil, false, d
 		}
-		return m.lead(m.addRecord(id, key, fp)), true, Decision{}
+		return m.lead(m.addRecord(id, key, fp, inMemory)), true, Decision{}
 	}
 	switch {
 	case rec.machine.fp != fp:
@@ -216,15 +242,14 @@
 	return nil, false, rec.machine.ending.finalDecision()
 }
 
-// admit refuses a new key when memory is short.
-func (m *Manager) admit(key Key) Decision {
-	if key.Issued && !key.Created.After(m.evictedThrough) {
-		return refuse(ReasonKeyExpired, "older keys of this entry were dropped")
-	}
+// admit refuses a new key when memory is short. During an outage nothing can
+// be evicted, so inMemory keys fill the memory.
+func (m *Manager) admit(inMemory bool) Decision {
 	full := len(m.records)-m.issued >= m.cfg.MaxPending
-	if key.Issued {
+	if inMemory {
 		if m.issued >= m.cfg.MaxIssued {
 			m.sweep(m.cfg.Now())
+			m.evict()
 		}
 		full = m.issued >= m.cfg.MaxIssued
 	}
@@ -234,11 +259,13 @@
 	return Decision{}
 }
 
-func (m *Manager) addRecord(id ID, key Key, fp Fingerprint) *record {
+// addRecord starts the memory of a key. An entry-issued key that needs the
+// store is claimed and forgotten like a caller-made one.
+func (m *Manager) addRecord(id ID, key Key, fp Fingerprint, inMemory bool) *record {
 	rec := &record{id: id, created: key.Created}
-	rec.machine = machine{self: m.cfg.Self, issued: key.Issued, fp: fp}
+	rec.machine = machine{self: m.cfg.Self, issued: inMemory, fp: fp}
 	m.records[id] = rec
-	if key.Issued {
+	if inMemory {
 		m.issued++
 	}
 	return rec
@@ -302,8 +329,8 @@
 	}
 }
 
-// release forgets a finished key that has nothing left to write. Finished
-// entry-issued keys stay, because only this memory stops a second run.
+// release forgets a finished key that has nothing left to write. Keys claimed
+// in memory stay until evict or sweep drops them.
 // written is false when the store does not hold the result.
 func (m *Manager) release(rec *record, written bool) {
 	if rec.machine.phase != finished || !rec.machine.settled() {
@@ -315,16 +342,19 @@
 		m.forget(rec)
 		return
 	}
+	rec.ticket = nil // its channels are a quarter of the memory of a key
 	if written {
+		heap.Push(&m.evictable, rec)
 		m.copied = append(m.copied, rec)
 		m.strip()
 	}
 }
 
 func (m *Manager) forget(rec *record) {
-	if m.records[rec.id] != rec {
+	if rec.forgotten {
 		return
 	}
+	rec.forgotten = true
 	delete(m.records, rec.id)
 	m.bytes -= rec.bytes
 	rec.bytes = 0
@@ -339,7 +369,7 @@
 		rec := m.copied[0]
 		m.copied[0] = nil
 		m.copied = m.copied[1:]
-		if rec.machine.ending.State != stateDone {
+		if rec.machine.ending.State != stateDone || rec.forgotten {
 			continue
 		}
 		rec.machine.ending.Result = nil
@@ -347,39 +377,3 @@
 		m.account(rec)
 	}
 }
-
-const sweepInterval = time.Minute
-
-// sweep drops entry-issued keys that the age limit refuses: copied ones at
-// once, others when the retention has passed.
-func (m *Manager) sweep(now time.Time) {
-	if now.Sub(m.lastSweep) < sweepInterval {
-		return
-	}
-	m.lastSweep = now
-	for _, rec := range m.records {
-		age := now.Sub(rec.created)
-		mc := &rec.machine
-		expired := age > rowRetention || age > MaxKeyAge && mc.settled()
-		if !mc.issued || mc.phase != finished || mc.inFlight != nil || !expired {
-			continue
-		}
-		mc.want = nil
-		m.forget(rec)
-		if rec.created.After(m.evictedThrough) {
-			m.evictedThrough = rec.created
-		}
-	}
-	m.dropForgotten()
-}
-
-func (m *Manager) dropForgotten() {
-	kept := m.copied[:0]
-	for _, rec := range m.copied {
-		if m.records[rec.id] == rec {
-			kept = append(kept, rec)
-		}
-	}
-	clear(m.copied[len(kept):])
-	m.copied = kept
-}
--- a/pkg/claim/manager_test.go
+++ b/pkg/claim/manager_test.go
@@ -45,7 +45,7 @@
 	t.Helper()
 	d := begin(m, k, time.Second)
 	require.Equal(t, Run, d.Verdict, d.Detail)
-	require.NoError(t, d.Ticket.Dispatch(time.Now()))
+	require.NoError(t, d.Ticket.Dispatch(m.cfg.Now()))
 	d.Ticket.Done(r)
 }
 
@@ -271,8 +271,31 @@
 	})
 }
 
-// Guards against unbounded memory, and against a second run of a key whose
-// result left the memory.
+// Guards against a second run by an entry that was paused between accepting a
+// key and claiming it until the row of an earlier run had expired.
+func TestDispatchOfExpiredKey(t *testing.T) {
+	now := time.Now()
+	table := newFakeTable()
+	m := NewManager(Config{Table: table, Now: func() time.Time { return now }})
+	k := callerKey(now)
+	ticket, leads, _ := m.join(idOf(k), k, testFP)
+	require.True(t, leads)
+	g := m.collect(now)
+	now = now.Add(rowRetention + time.Second)
+	m.settle(g, table.Commit(context.Background(), g.tx))
+	require.True(t, isClosed(ticket.granted))
+	require.ErrorIs(t, ticket.Dispatch(now), ErrDispatchLimit)
+
+	k = callerKey(now)
+	ticket, _, _ = m.join(idOf(k), k, testFP)
+	now = now.Add(rowRetention + time.Second)
+	require.Empty(t, m.collect(now).recs)
+	require.Equal(t, ReasonKeyExpired, ticket.outcome.Reason)
+}
+
+// Guards against unbounded memory, against a second run of a key whose result
+// left the memory, and against a clock that steps back and makes an old key
+// acceptable again.
 func TestIssuedMemory(t *testing.T) {
 	body := []byte(strings.Repeat("x", MaxBodyBytes))
 	table := newFakeTable()
@@ -281,27 +304,91 @@
 	cfg.Now = func() time.Time { return time.Now().Add(time.Duration(step.Load())) }
 	inBubble(t, table, cfg, func(t *testing.T, m *Manager) {
 		var keys []Key
-		for range 8 {
+		for range 12 {
 			k := issuedKeyOf(m, time.Now())
 			keys = append(keys, k)
 			runKey(t, m, k, Result{Status: 200, Body: body})
 			require.NoError(t, m.Flush(context.Background()))
+			require.LessOrEqual(t, m.Stats().Issued, cfg.MaxIssued)
 		}
 		require.LessOrEqual(t, m.Stats().Bytes, cfg.MaxBytes)
+		require.EqualValues(t, 4, m.Stats().Evicted)
 		for _, k := range keys {
 			require.Equal(t, body, begin(m, k, time.Second).Result.Body)
 		}
-		require.Equal(t, ReasonOverload, begin(m, issuedKeyOf(m, time.Now()), time.Second).Reason)
 		table.behave(func(context.Context) error { return platform.ErrUnavailable })
 		time.Sleep(MaxKeyAge + time.Second)
-		require.Equal(t, ReasonKeyExpired, begin(m, keys[0], time.Second).Reason)
+		for _, k := range keys {
+			require.Equal(t, ReasonKeyExpired, begin(m, k, time.Second).Reason)
+		}
 		for range 4 {
 			runKey(t, m, issuedKeyOf(m, time.Now()), Result{Status: 200, Body: body})
 		}
 		require.Equal(t, ReasonOverload, begin(m, issuedKeyOf(m, time.Now()), time.Second).Reason)
-		// A clock that steps back must not make an evicted key run again.
 		step.Store(int64(-MaxKeyAge))
-		require.Equal(t, ReasonKeyExpired, begin(m, keys[0], time.Second).Reason)
+		for _, k := range keys {
+			require.Equal(t, ReasonKeyExpired, begin(m, k, time.Second).Reason)
+		}
+	})
+}
+
+// Guards against an outage after which old keys run again, or in which new
+// keys need the store or memory grows without bound.
+func TestIssuedMemoryInOutage(t *testing.T) {
+	table := newFakeTable()
+	inBubble(t, table, Config{MaxIssued: 8}, func(t *testing.T, m *Manager) {
+		unused := issuedKeyOf(m, time.Now())
+		old := issuedKeyOf(m, time.Now())
+		runKey(t, m, old, Result{Status: 201})
+		for range 8 {
+			time.Sleep(time.Millisecond)
+			runKey(t, m, issuedKeyOf(m, time.Now()), Result{Status: 200})
+			require.NoError(t, m.Flush(context.Background()))
+		}
+		table.behave(func(context.Context) error { return platform.ErrUnavailable })
+		for range 8 {
+			time.Sleep(time.Millisecond)
+			runKey(t, m, issuedKeyOf(m, time.Now()), Result{Status: 200})
+		}
+		refused := begin(m, issuedKeyOf(m, time.Now()), time.Second)
+		require.Equal(t, ReasonOverload, refused.Reason)
+		require.Equal(t, NotRun, refused.Verdict)
+		for _, k := range []Key{old, unused} {
+			d := begin(m, k, 5*time.Second)
+			require.Equal(t, NotRun, d.Verdict)
+			require.Equal(t, ReasonStoreUnavailable, d.Reason)
+		}
+		table.behave(nil)
+		require.NoError(t, m.Flush(context.Background()))
+		require.Equal(t, 201, begin(m, old, time.Second).Result.Status)
+		runKey(t, m, unused, Result{Status: 202})
+		require.NoError(t, m.Flush(context.Background()))
+		require.Equal(t, 202, begin(m, unused, time.Second).Result.Status)
+		runKey(t, m, issuedKeyOf(m, time.Now()), Result{Status: 200})
+		require.Zero(t, m.Stats().Pending)
+	})
+}
+
+// Guards against a caller-made key that runs again because the wall clock
+// stepped back by more than the time between the age limit and the retention
+// of rows, and against fresh keys that are refused after a small step.
+func TestWallClockStepsBack(t *testing.T) {
+	table := newFakeTable()
+	table.clock = time.Now
+	var step atomic.Int64
+	cfg := Config{Now: func() time.Time { return time.Now().Add(time.Duration(step.Load())) }}
+	inBubble(t, table, cfg, func(t *testing.T, m *Manager) {
+		k := callerKey(time.Now())
+		runKey(t, m, k, Result{Status: 200})
+		require.NoError(t, m.Flush(context.Background()))
+		time.Sleep(rowRetention + time.Minute)
+		step.Store(int64(-25 * time.Hour))
+		require.Equal(t, ReasonKeyExpired, begin(m, k, time.Second).Reason)
+		runKey(t, m, callerKey(time.Now()), Result{Status: 200})
+		step.Store(int64(-time.Minute))
+		fresh := mustParse(m.NewKey())
+		require.False(t, fresh.Created.Before(time.Now().Truncate(time.Millisecond)))
+		runKey(t, m, fresh, Result{Status: 200})
 	})
 }
 
--- a/pkg/claim/property_test.go
+++ b/pkg/claim/property_test.go
@@ -30,6 +30,15 @@
 	dead   bool // its entry crashed
 }
 
+// flight is a transaction that was sent and whose reply is open or lost.
+type flight struct {
+	*group
+	at time.Time
+}
+
+// landsWithin bounds how long after it was sent a write can land.
+const landsWithin = time.Hour
+
 // world drives several managers without goroutines: each step of the
 // committer, each fault and each caller is one action.
 type world struct {
@@ -37,8 +46,10 @@
 	now      time.Time
 	table    *fakeTable
 	entries  []*Manager
-	flying   [][]*group    // by entry, in no order
-	delayed  []platform.Tx // lost writes that may still land
+	flying   [][]flight      // by entry, in no order
+	delayed  []flight        // may still land
+	skew     []time.Duration // of the wall clock, by entry
+	epoch    time.Time
 	keys     []Key
 	old      []Key      // entry-issued keys of earlier incarnations
 	attempts []*attempt // with the right to a ticket
@@ -50,7 +61,11 @@
 func newWorld(t *rapid.T) *world {
 	w := &world{t: t, now: time.Date(2026, 5, 4, 3, 2, 1, 0, time.UTC), table: newFakeTable(), runs: map[ID][]*run{}}
 	w.entries = make([]*Manager, 2)
-	w.flying = make([][]*group, 2)
+	w.flying = make([][]flight, 2)
+	w.epoch = w.now
+	w.skew = make([]time.Duration, 2)
+	w.table.clock = func() time.Time { return w.now }
+	w.table.lag = func() int { return rapid.SampledFrom([]int{0, 0, 0, 1, 2}).Draw(t, "lag") }
 	// Few keys and entries, so that attempts meet often.
 	w.keys = []Key{callerKey(w.now), callerKey(w.now), {}, {}}
 	for i := range w.entries {
@@ -61,25 +76,30 @@
 
 func (w *world) startEntry(i int) {
 	w.starts++
+	// A process must start with a clock that is right within hours.
+	w.skew[i] = 0
 	w.entries[i] = NewManager(Config{
 		ReadBudget:  1e9,
 		WriteBudget: 1e9,
 		Self:        Incarnation{Entry: fmt.Sprint("entry-", i), Number: w.starts},
 		Table:       w.table,
-		Now:         func() time.Time { return w.now },
+		Now:         func() time.Time { return w.now.Add(w.skew[i]) },
+		Elapsed:     func() time.Duration { return w.now.Sub(w.epoch) },
 		MaxGroup:    2,
+		MaxIssued:   1, // so that every second key evicts one
 	})
 	if w.keys[2+i].Raw != "" {
 		w.old = append(w.old, w.keys[2+i])
 	}
-	w.keys[2+i] = issuedKeyOf(w.entries[i], w.now)
+	w.keys[2+i] = mustParse(w.entries[i].NewKey())
 }
 
 // renewKey replaces a key, since a key that ended allows no further run.
 func (w *world) renewKey() {
 	i := rapid.IntRange(0, len(w.keys)-1).Draw(w.t, "renew")
 	if w.keys[i].Issued {
-		w.keys[i] = issuedKeyOf(w.entries[i-2], w.now)
+		w.old = append(w.old, w.keys[i])
+		w.keys[i] = mustParse(w.entries[i-2].NewKey())
 		return
 	}
 	w.keys[i] = callerKey(w.now)
@@ -97,12 +117,13 @@
 	m := w.entries[i]
 	key := rapid.SampledFrom(w.keys).Draw(w.t, "key")
 	if n := len(w.old); n > 0 && rapid.IntRange(0, 3).Draw(w.t, "old") == 0 {
-		key = w.old[n-1]
+		key = w.old[n-rapid.IntRange(1, min(4, n)).Draw(w.t, "which")]
 	}
 	id := idOf(key)
 	w.check(id, m.Lookup(context.Background(), id))
 	if key.Issued && key.Owner != m.cfg.Self {
-		require.Equal(w.t, key.Owner, m.Begin(context.Background(), id, key, testFP).PassTo)
+		d := m.Begin(context.Background(), id, key, testFP)
+		require.True(w.t, d.PassTo == key.Owner || d.Reason == ReasonKeyExpired)
 		return
 	}
 	t, leads, d := m.join(id, key, testFP)
@@ -117,6 +138,30 @@
 	}
 }
 
+// complete issues a key and runs it to its end in one step, so that claims are
+// evicted often.
+func (w *world) complete() {
+	w.now = w.now.Add(time.Millisecond)
+	i := w.pick()
+	m := w.entries[i]
+	key := mustParse(m.NewKey())
+	w.old = append(w.old, key)
+	t, leads, d := m.join(idOf(key), key, testFP)
+	if !leads {
+		w.check(idOf(key), d)
+		return
+	}
+	a := &attempt{entry: i, id: idOf(key), ticket: t}
+	w.attempts = append(w.attempts, a)
+	w.dispatch(a)
+	if a.run != nil {
+		a.ticket.Done(Result{Status: 200, Body: []byte(a.run.body)})
+	}
+	if g := m.collect(w.now); len(g.recs) > 0 {
+		m.settle(g, w.table.Commit(context.Background(), g.tx))
+	}
+}
+
 // check compares a final answer with the ledger of runs.
 func (w *world) check(id ID, d Decision) {
 	open := w.open(id)
@@ -125,6 +170,9 @@
 		require.Len(w.t, open, 1)
 		require.Equal(w.t, open[0].body, string(d.Result.Body))
 	case NotRun:
+		if d.Reason == ReasonKeyExpired && !d.NeverRun {
+			return // said of the attempt only
+		}
 		require.Empty(w.t, open, "not run was told of a key that may have run: %s", d.Reason)
 	}
 }
@@ -135,7 +183,7 @@
 		return
 	}
 	if g := w.entries[i].collect(w.now); len(g.recs) > 0 {
-		w.flying[i] = append(w.flying[i], g)
+		w.flying[i] = append(w.flying[i], flight{g, w.now})
 	}
 	seen := map[ID]bool{}
 	for _, g := range w.flying[i] {
@@ -158,15 +206,15 @@
 	err := platform.ErrUnknownOutcome
 	switch rapid.SampledFrom([]string{"ok", "ok", "ok", "lost after", "lost before", "late", "down"}).Draw(w.t, "fate") {
 	case "ok":
-		err = w.table.Commit(context.Background(), g.tx)
+		err = w.land(g)
 	case "lost after":
-		_ = w.table.Commit(context.Background(), g.tx)
+		_ = w.land(g)
 	case "late":
-		w.delayed = append(w.delayed, g.tx)
+		w.delayed = append(w.delayed, g)
 	case "down":
 		err = platform.ErrUnavailable
 	}
-	w.entries[i].settle(g, err)
+	w.entries[i].settle(g.group, err)
 }
 
 func (w *world) landDelayed() {
@@ -174,7 +222,30 @@
 		return
 	}
 	i := rapid.IntRange(0, len(w.delayed)-1).Draw(w.t, "delayed")
-	_ = w.table.Commit(context.Background(), w.delayed[i])
+	_ = w.land(w.delayed[i])
+}
+
+// land applies a write unless it was sent too long ago.
+func (w *world) land(f flight) error {
+	if w.now.Sub(f.at) >= landsWithin {
+		return platform.ErrUnknownOutcome
+	}
+	return w.table.Commit(context.Background(), f.tx)
+}
+
+// stepClock sets the wall clock of an entry forward or back.
+func (w *world) stepClock() {
+	hours := rapid.SampledFrom([]int{-49, -25, -2, 2, 25, 49}).Draw(w.t, "hours")
+	w.skew[w.pick()] += time.Duration(hours) * time.Hour
+}
+
+// age lets hours pass, so that keys and rows expire. The store works at least
+// once in that time: a result that is not written before its claim row expires
+// is lost, and nothing here can prevent that.
+func (w *world) age() {
+	w.writeOut()
+	hours := rapid.SampledFrom([]int{1, 13, 25, 49}).Draw(w.t, "hours")
+	w.now = w.now.Add(time.Duration(hours) * time.Hour)
 }
 
 func (w *world) pause() {
@@ -187,7 +258,7 @@
 
 func (w *world) kill(i int) {
 	for _, g := range w.flying[i] {
-		w.delayed = append(w.delayed, g.tx)
+		w.delayed = append(w.delayed, g)
 	}
 	w.flying[i] = nil
 	for _, a := range w.attempts {
@@ -274,13 +345,14 @@
 	require.Zero(w.t, w.entries[0].Stats().Violations+w.entries[1].Stats().Violations)
 }
 
-// drain lets the store work again and checks that nothing stays unwritten.
-func (w *world) drain() {
+// writeOut lets the store work again until nothing is left to write.
+func (w *world) writeOut() {
 	for i, m := range w.entries {
 		for _, g := range w.flying[i] {
-			w.delayed = append(w.delayed, g.tx)
-			m.settle(g, platform.ErrUnknownOutcome)
+			w.delayed = append(w.delayed, g)
+			m.settle(g.group, platform.ErrUnknownOutcome)
 		}
+		w.flying[i] = nil
 		for range 50 {
 			g := m.collect(w.now)
 			if len(g.recs) == 0 {
@@ -288,14 +360,21 @@
 			}
 			m.settle(g, w.table.Commit(context.Background(), g.tx))
 		}
+	}
+}
+
+// drain checks that nothing stays unwritten once the store works again.
+func (w *world) drain() {
+	w.writeOut()
+	for _, m := range w.entries {
 		for id, rec := range m.records {
 			open := rec.machine.phase == granted || rec.machine.phase == dispatched
 			require.True(w.t, open || rec.machine.settled(), "unwritten claim %s", id.Key)
 			require.True(w.t, open || rec.machine.issued, "key kept in memory without need")
 		}
 	}
-	for _, tx := range w.delayed {
-		_ = w.table.Commit(context.Background(), tx)
+	for _, l := range w.delayed {
+		_ = w.land(l)
 	}
 	w.noLeftovers()
 }
@@ -303,6 +382,7 @@
 // noLeftovers checks that a row is claimed by a live entry only while that
 // entry has the attempt open; it would become a false "unknown" later.
 func (w *world) noLeftovers() {
+	w.table.expire()
 	for key, stored := range w.table.rows {
 		if strings.HasPrefix(key, sealPrefix) {
 			continue
@@ -331,14 +411,15 @@
 // pause undoes what came before, so these come last.
 func (w *world) steps() []func() {
 	return []func(){
-		w.caller, w.collect, w.settle, w.begin, w.caller, w.collect, w.settle, w.begin,
+		w.caller, w.collect, w.settle, w.begin, w.complete, w.caller, w.collect, w.settle, w.begin,
 		w.caller, w.collect, w.settle, w.renewKey, w.landDelayed, w.crash, w.pause, w.stop, w.collect,
+		w.renewKey, w.stepClock, w.age,
 	}
 }
 
 // Guards against a second run, a false "not run", a foreign result and a
-// claim that is never resolved, under crashes, pauses, lost and late writes
-// and outages.
+// claim that is never resolved, under crashes, pauses, lost and late writes,
+// outages, evictions, lagging reads, expiring rows and steps of the wall clock.
 func TestAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newWorld(rt)
--- a/pkg/claim/row.go
+++ b/pkg/claim/row.go
@@ -38,6 +38,13 @@
 
 func (r *row) final() bool { return r.State == stateDone || r.State == stateUnknown }
 
+// sealed reports whether the row says that an entry-issued key never ran and
+// never will. The owner also writes not_run rows, for keys that it claimed in
+// the store and may run again; these name an attempt.
+func (r *row) sealed(key Key) bool {
+	return key.Issued && r.State == stateNotRun && r.Attempt == ""
+}
+
 // sameWrite reports whether a stored row is the effect of writing r.
 func (r *row) sameWrite(stored *row) bool {
 	return r.State == stored.State && r.owner() == stored.owner() && r.Attempt == stored.Attempt
--- a/pkg/claim/seal.go
+++ b/pkg/claim/seal.go
@@ -64,6 +64,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.closed = true
+	m.keyTime()
+	if m.keys.ahead > maxSealAhead {
+		return errors.Wrap(ErrUnwritten, "the wall clock stepped forward, so claims may expire before their keys")
+	}
 	if m.stats.Violations > 0 {
 		return errors.Wrap(ErrUnwritten, "a claim could not be stored as it is")
 	}
@@ -99,16 +103,16 @@
 	return m.cfg.Table.Commit(ctx, tx)
 }
 
-// lookupSealed decides an entry-issued key without a claim row. If its owner
-// is sealed, the key never ran.
+// lookupSealed decides an entry-issued key without a claim row (version 0) or
+// with a not_run row of its owner. If the owner is sealed, the key never ran.
 //
 // A row that a read did not find may have been written since, and reads may
-// lag, so the answer rests on inserting a not_run row: that fails if any row
+// lag, so the answer rests on writing a not_run row: that fails if another row
 // of the key exists. It stays correct for keys within the age limit only,
 // since the rows of older keys may have expired before the seal.
-func (m *Manager) lookupSealed(ctx context.Context, id ID, key Key) Decision {
+func (m *Manager) lookupSealed(ctx context.Context, id ID, key Key, version uint64) Decision {
 	absent := unknownDecision("no claim is recorded")
-	if !key.Issued || key.Owner == m.cfg.Self || key.CheckAge(m.cfg.Now()) != nil {
+	if !key.Issued || key.Owner == m.cfg.Self || m.checkAge(key) != nil {
 		return absent
 	}
 	if err := m.waitRead(ctx); err != nil {
@@ -120,12 +124,18 @@
 	r := &row{State: stateNotRun, Entry: key.Owner.Entry, Incarnation: key.Owner.Number}
 	r.Reason = ReasonKeyExpired
 	r.Detail = "the entry instance that issued the key has stopped without running it"
+	return m.confirmNotRun(ctx, id, key, version, r)
+}
+
+// confirmNotRun writes a not_run row over the version that was read, and
+// answers from it or from the row that is in its place.
+func (m *Manager) confirmNotRun(ctx context.Context, id ID, key Key, version uint64, r *row) Decision {
 	value, err := r.encode()
 	if err != nil {
-		return absent
+		return unknownDecision(err.Error())
 	}
 	err = m.commitAlone(ctx, platform.Tx{
-		Conditions: []platform.Condition{{Key: id.rowKey()}},
+		Conditions: []platform.Condition{{Key: id.rowKey(), Version: version}},
 		Puts:       []platform.Put{{Key: id.rowKey(), Value: value, TTL: rowRetention}},
 	})
 	var conflict *platform.ConflictError
@@ -135,5 +145,5 @@
 	case errors.As(err, &conflict) && len(conflict.Rows) == 1:
 		return storedDecision(conflict.Rows[0], key)
 	}
-	return absent
+	return unknownDecision("the claim cannot be read: " + err.Error())
 }
--- a/pkg/entry/callers.go
+++ b/pkg/entry/callers.go
@@ -160,7 +160,7 @@
 	now := time.Now()
 	writeJSON(w, http.StatusOK, KeyAnswer{
 		Service: svc.Name,
-		Key:     claim.NewIssuedKey(e.self, now),
+		Key:     e.claims.NewKey(),
 		Entry:   e.settings.ID,
 		Expires: now.Add(claim.MaxKeyAge),
 	})
--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -77,11 +77,11 @@
 		// A key of an instance that stops would be lost with it.
 		ready := e.state() == wire.EntryState_ENTRY_STATE_READY
 		if rep.reason == ReasonStoreUnavailable && !req.key.Issued && ready {
-			rep.nextKey = claim.NewIssuedKey(e.self, time.Now())
+			rep.nextKey = e.claims.NewKey()
 		}
 		if d.NeverRun {
 			rep.appliesTo = AppliesToKey
-			rep.nextKey = claim.NewIssuedKey(e.self, time.Now())
+			rep.nextKey = e.claims.NewKey()
 		}
 		return rep
 	default:
@@ -109,13 +109,13 @@
 func (e *Entry) passToOwner(ctx context.Context, req *request, owner claim.Incarnation) reply {
 	target, ok := req.view.entries[owner.Entry]
 	if !ok {
-		return e.lookupClaim(ctx, req, owner)
+		return e.lookupClaim(ctx, req, owner, false)
 	}
 	rep := e.askOwner(ctx, req, target, owner)
 	// Only the owner can say that the key did not run. A refusal without its
 	// name was made here, before or instead of asking it.
 	if rep.entry == "" && !rep.answered() {
-		return e.lookupClaim(ctx, req, owner)
+		return e.lookupClaim(ctx, req, owner, !rep.isNotRun())
 	}
 	return rep
 }
@@ -150,13 +150,16 @@
 }
 
 // lookupClaim answers from the table service when the owner cannot be reached.
-func (e *Entry) lookupClaim(ctx context.Context, req *request, owner claim.Incarnation) reply {
+// maybeSent means that the owner may have got the request.
+func (e *Entry) lookupClaim(ctx context.Context, req *request, owner claim.Incarnation, maybeSent bool) reply {
 	d := e.claims.Lookup(ctx, req.claimID())
 	found := d.Fingerprint != claim.Fingerprint{}
 	if found && d.Fingerprint != req.fingerprint() {
 		return notRun(ReasonKeyMismatch, "the key was used for another request")
 	}
-	if d.Verdict == claim.Recorded || d.Verdict == claim.NotRun {
+	// A row that says not run speaks for earlier attempts only: a forward that
+	// may have arrived can still run the key.
+	if d.Verdict == claim.Recorded || d.NeverRun || d.Verdict == claim.NotRun && !maybeSent {
 		return e.claimReply(req, d)
 	}
 	return unknownOutcome(ReasonOwnerUnreachable,
@@ -170,7 +173,7 @@
 	switch decision.Verdict {
 	case claim.PassTo:
 		// Not passed on again: the peer took this process for its predecessor.
-		return e.lookupClaim(ctx, req, decision.PassTo)
+		return e.lookupClaim(ctx, req, decision.PassTo, false)
 	case claim.Run:
 		runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.deadline.Add(recordGrace))
 		defer cancel()
