--- a/pkg/claim/record.go
+++ b/pkg/claim/record.go
@@ -54,8 +54,8 @@
 	id       ID
 	row      *row
 	version  uint64
-	since    time.Time
-	due      bool // to be written
+	since    time.Duration // by Config.Elapsed: a step of the wall clock must not drop it
+	due      bool          // to be written
 	inFlight bool
 	size     int
 }
@@ -65,8 +65,8 @@
 type outcomes struct {
 	list     []*outcome // oldest first
 	bytes    int
-	failures int // consecutive failed transactions
-	nextTry  time.Time
+	failures int           // consecutive failed transactions
+	nextTry  time.Duration // by Config.Elapsed
 	wake     chan struct{} // holds one token when a result is due
 }
 
@@ -85,7 +85,7 @@
 		Fingerprint: run.Fingerprint,
 		Result:      run.Result.kept(),
 	}
-	o := &outcome{id: run.ID, row: r, version: run.Ref.Version, since: m.cfg.Now(), due: run.Undelivered, size: r.Result.size()}
+	o := &outcome{id: run.ID, row: r, version: run.Ref.Version, since: m.cfg.Elapsed(), due: run.Undelivered, size: r.Result.size()}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.roomForOutcome(o) {
@@ -146,7 +146,7 @@
 		case <-tick.C:
 		case <-m.outcomes.wake:
 		}
-		for g := m.takeOutcomes(m.cfg.Now()); g != nil; g = m.takeOutcomes(m.cfg.Now()) {
+		for g := m.takeOutcomes(); g != nil; g = m.takeOutcomes() {
 			m.settleOutcomes(g, m.commitAlone(ctx, g.tx))
 		}
 	}
@@ -165,8 +165,9 @@
 // takeOutcomes returns the results to write now, or nil. A result is due when
 // its owner does not live, when the owner did not get it, and when this process
 // stops.
-func (m *Manager) takeOutcomes(now time.Time) *outcomeGroup {
+func (m *Manager) takeOutcomes() *outcomeGroup {
 	alive := m.liveOwners()
+	now := m.cfg.Elapsed()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	g := &outcomeGroup{}
@@ -174,7 +175,7 @@
 		owner := o.row.owner()
 		live, asked := alive[owner]
 		o.due = o.due || asked && !live || m.flushing > 0
-		switch age := now.Sub(o.since); {
+		switch age := now - o.since; {
 		case o.inFlight:
 		case age > outcomeRetention:
 			m.cfg.Logger.Error("outcome of a peer's request could not be written", "customer", o.id.Customer,
@@ -182,7 +183,7 @@
 			m.dropOutcome(o)
 		case !o.due && age > outcomeHold:
 			m.dropOutcome(o)
-		case o.due && len(g.list) < maxOutcomeGroup && !now.Before(m.outcomes.nextTry) && !g.has(o.id):
+		case o.due && len(g.list) < maxOutcomeGroup && now >= m.outcomes.nextTry && !g.has(o.id):
 			m.addOutcome(g, o)
 		}
 	}
@@ -245,7 +246,7 @@
 	default:
 		pause := min(minOutcomePause<<min(m.outcomes.failures, 10), maxOutcomePause)
 		m.outcomes.failures++
-		m.outcomes.nextTry = m.cfg.Now().Add(pause)
+		m.outcomes.nextTry = m.cfg.Elapsed() + pause
 		m.cfg.Logger.Warn("outcomes of peers' requests not written; trying again", "keys", len(g.list), "pause", pause, "error", err)
 	}
 }
