Let operators settle claims whose outcome is unknown

Cause: an unresolved claim stayed "unknown" until it expired after 48 h, also when the backend's own records showed what had happened.

drctl unresolved resolve CUSTOMER SERVICE KEY records an answer (--ran) or "not run" by compare-and-set on the row, with author, reason, time and change id in it. It needs a dead owner (a newer incarnation at its seat, or refused connections and no place in a fresh platform list) or an "unknown" row, and an attempt older than dispatch limit + commit timeout + service timeout. Refusals are typed (exit code 3, "claim.reason" in JSON).

The age comes from the UUID of the attempt id, since rows carry no time. A "not run" of an entry-issued key is final: other entries answer it without asking the owner, so the owner must not run such a key either and offers a next_key.

Ruled out: asking a live owner of an entry-issued key to settle its memory. Only an "unknown" row can be settled while the owner lives, an unknown claim never restarts, and the owner reads the row at the next attempt, which is one message less to lose. Ruled out: trusting silence; a paused owner keeps its claim.

--- a/cmd/drctl/main.go
+++ b/cmd/drctl/main.go
@@ -51,7 +51,7 @@
 	Trace      traceCmd      `cmd:"" help:"Show every step of a request."`
 	Routes     routesCmd     `cmd:"" help:"Show where requests can go."`
 	Burn       burnCmd       `cmd:"" help:"Show the use of the error budgets."`
-	Unresolved unresolvedCmd `cmd:"" help:"List at-most-once requests whose outcome is unknown."`
+	Unresolved unresolvedCmd `cmd:"" help:"At-most-once requests whose outcome is unknown."`
 	Status     statusCmd     `cmd:"" help:"Show the state of the entry instance that answers."`
 	Config     configCmd     `cmd:"" help:"Configuration files."`
 }
--- a/cmd/drctl/report.go
+++ b/cmd/drctl/report.go
@@ -96,24 +96,6 @@
 	return fmt.Sprintf("%.2f", *w.BurnRate)
 }
 
-type unresolvedCmd struct{}
-
-func (unresolvedCmd) Run(s *session) error {
-	claims, err := ask(s, func(ctx context.Context, c *operator.Client) ([]operator.UnresolvedClaim, error) {
-		return c.Unresolved(ctx)
-	})
-	if err != nil {
-		return err
-	}
-	claims = notNil(claims)
-	return s.emit(claims, func(w io.Writer) {
-		row(w, "CLAIMED AT", "CUSTOMER", "SERVICE", "KEY", "ENTRY", "INCARNATION", "STATE", "DETAIL")
-		for _, u := range claims {
-			row(w, stamp(u.ClaimedAt), u.Customer, u.Service, u.Key, u.Entry, u.Incarnation, u.State, u.Detail)
-		}
-	})
-}
-
 type statusCmd struct{}
 
 func (statusCmd) Run(s *session) error {
--- a/cmd/drctl/session.go
+++ b/cmd/drctl/session.go
@@ -137,18 +137,23 @@
 	})
 }
 
-// submit makes a change under one change id, however often it is sent.
-func (s *session) submit(op config.Operation) (*config.Document, error) {
+// newChange identifies the change of this command.
+func (s *session) newChange() config.Change {
 	id := s.cli.ChangeID
 	if id == "" {
 		id = uuid.Must(uuid.NewV7()).String()
 	}
-	ch := config.Change{ID: id, Author: s.cli.Author, At: time.Now().UTC()}
+	return config.Change{ID: id, Author: s.cli.Author, At: time.Now().UTC()}
+}
+
+// submit makes a change under one change id, however often it is sent.
+func (s *session) submit(op config.Operation) (*config.Document, error) {
+	ch := s.newChange()
 	doc, err := ask(s, func(ctx context.Context, c *operator.Client) (*config.Document, error) {
 		return c.SubmitChange(ctx, ch, op)
 	})
 	if replyLost(err) {
-		return nil, errors.Wrapf(err, "the change may have been made; run the command again with --change-id %s", id)
+		return nil, errors.Wrapf(err, "the change may have been made; run the command again with --change-id %s", ch.ID)
 	}
 	return doc, err
 }
@@ -200,6 +205,8 @@
 	Exit     int                   `json:"exit_code"`
 	Findings []findings.Finding    `json:"findings,omitempty"`
 	Conflict *config.ConflictError `json:"conflict,omitempty"`
+	// Claim says why a claim was not resolved.
+	Claim *operator.ClaimConflict `json:"claim,omitempty"`
 }
 
 func (s *session) report(err error) {
@@ -211,6 +218,7 @@
 	var api *operator.Error
 	if errors.As(err, &api) {
 		f.Findings = api.Findings
+		f.Claim = api.Claim
 	}
 	errors.As(err, &f.Conflict)
 	if s.cli.Output == "json" {
--- a/pkg/claim/lookup.go
+++ b/pkg/claim/lookup.go
@@ -91,12 +91,16 @@
 	Detail      string      `json:"detail,omitempty"`
 	KeyCreated  time.Time   `json:"key_created"`
 	Fingerprint Fingerprint `json:"fingerprint"`
+	// Version is the row version, and Resolution what an operator decided.
+	Version    uint64      `json:"version"`
+	Resolution *Resolution `json:"resolution,omitempty"`
 }
 
 // Unresolved lists up to limit claims that are unknown, or claimed by an
-// incarnation that is not alive. It reads bounded pages within the read
+// incarnation that is not alive; with resolved, those that an operator settled.
+// It reads bounded pages within the read
 // budget. On an error it returns what it found so far.
-func (m *Manager) Unresolved(ctx context.Context, limit int) ([]Unresolved, error) {
+func (m *Manager) Unresolved(ctx context.Context, limit int, resolved bool) ([]Unresolved, error) {
 	var found []Unresolved
 	after := ""
 	for range scanMaxPages {
@@ -108,7 +112,11 @@
 			return found, errors.Wrap(err, "list claims after "+strconv.Quote(after))
 		}
 		for _, r := range rows {
-			if u, ok := m.unresolved(r); ok {
+			u, ok := m.unresolved(r)
+			if resolved {
+				ok = u.Resolution != nil
+			}
+			if ok {
 				found = append(found, u)
 			}
 			if len(found) >= limit {
@@ -129,7 +137,7 @@
 		m.cfg.Logger.Warn("claim row has a malformed key", "row", stored.Key)
 		return Unresolved{}, false
 	}
-	u := Unresolved{ID: id}
+	u := Unresolved{ID: id, Version: stored.Version}
 	if key, err := ParseKey(id.Key); err == nil {
 		u.KeyCreated = key.Created
 	}
@@ -142,6 +150,7 @@
 	u.State = string(r.State)
 	u.Owner = r.owner()
 	u.Detail = r.Detail
+	u.Resolution = r.Resolution
 	u.Fingerprint = r.Fingerprint
 	open := r.State == stateUnknown || r.State == stateClaimed && !m.alive(r.owner())
 	return u, open
--- a/pkg/claim/machine.go
+++ b/pkg/claim/machine.go
@@ -35,6 +35,8 @@
 	attempt string
 	sentAt  time.Time // when the claim of this attempt was first sent
 	ending  *row      // set in phase finished
+	// resolution is kept in the rows of later attempts, as an audit trail.
+	resolution *Resolution
 
 	// version is the row version that the next write is conditional on.
 	version uint64
@@ -52,6 +54,7 @@
 	grant    bool      // the ticket may be dispatched
 	answer   *Decision // ends the ticket
 	violated string    // a broken assumption to log
+	lost     string    // a result that an operator's resolution replaced
 }
 
 func (m *machine) newRow(s state) *row {
@@ -61,6 +64,7 @@
 		Incarnation: m.self.Number,
 		Attempt:     m.attempt,
 		Fingerprint: m.fp,
+		Resolution:  m.resolution,
 	}
 }
 
@@ -246,9 +250,14 @@
 	switch {
 	case stored.final():
 		return m.yield(stored.finalDecision())
+	case m.issued && stored.byHand():
+		// Other entries have answered that this key is not run for good.
+		return m.yield(Decision{Verdict: NotRun, Reason: stored.Reason, Detail: stored.Detail, NeverRun: true})
 	case stored.State == stateNotRun, stored.owner() == m.self:
 		// Not run, or our own claim that was never dispatched: take it over.
 		m.held = stored.State == stateClaimed
+		m.resolution = stored.Resolution
+		m.want = m.newRow(stateClaimed)
 		return effects{}
 	}
 	return m.yield(Decision{Verdict: PassTo, PassTo: stored.owner()})
@@ -277,6 +286,15 @@
 		return effects{}
 	}
 	m.want = nil
+	if stored.byHand() {
+		if stored.final() {
+			m.ending = stored
+		}
+		if ours.State == stateUnknown {
+			return effects{} // this entry instance knew nothing either
+		}
+		return effects{lost: "result " + string(ours.State) + " came too late: " + stored.resolved()}
+	}
 	return effects{violated: "result " + string(ours.State) + " found a row of " + stored.Entry}
 }
 
--- a/pkg/claim/manager.go
+++ b/pkg/claim/manager.go
@@ -273,6 +273,10 @@
 		m.cfg.Logger.Error("claim invariant violated", "customer", rec.id.Customer,
 			"service", rec.id.Service, "key", rec.id.Key, "problem", e.violated)
 	}
+	if e.lost != "" {
+		m.cfg.Logger.Error("result lost to a resolution by hand", "customer", rec.id.Customer,
+			"service", rec.id.Service, "key", rec.id.Key, "problem", e.lost)
+	}
 	if e.grant {
 		close(rec.ticket.granted)
 	}
--- a/pkg/claim/manager_test.go
+++ b/pkg/claim/manager_test.go
@@ -368,7 +368,7 @@
 	put(stateClaimed, dead)
 	put(stateUnknown, live)
 	m := NewManager(Config{Table: table, ReadBudget: 1e6, Live: func(i Incarnation) bool { return i == live }})
-	found, err := m.Unresolved(context.Background(), 10)
+	found, err := m.Unresolved(context.Background(), 10, false)
 	require.NoError(t, err)
 	require.Len(t, found, 2)
 	require.Equal(t, "sarafu", found[0].ID.Customer)
--- a/pkg/claim/property_test.go
+++ b/pkg/claim/property_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -22,7 +23,11 @@
 	// executor is the entry that runs the request for the owner, or -1.
 	executor int
 	ref      Ref
-	over     bool // the backend server has answered
+	began    time.Time
+	// arrived is false while the request waits at the executor; it reaches the
+	// backend server within worldTimeout or never.
+	arrived bool
+	over    bool // the backend server has answered
 	// recorder is the incarnation of the executor that knows that the owner did
 	// not get the answer.
 	recorder *Manager
@@ -35,6 +40,7 @@
 	ticket *Ticket
 	run    *run
 	dead   bool // its entry crashed
+	began  time.Time
 }
 
 // world drives several managers without goroutines: each step of the
@@ -53,6 +59,7 @@
 	attached []*attempt
 	runs     map[ID][]*run
 	starts   uint64
+	resolved int
 }
 
 func newWorld(t *rapid.T) *world {
@@ -116,7 +123,7 @@
 		return
 	}
 	t, leads, d := m.join(id, key, testFP)
-	a := &attempt{entry: i, id: id, ticket: t}
+	a := &attempt{entry: i, id: id, ticket: t, began: w.now}
 	switch {
 	case d.Verdict != 0:
 		w.check(id, d)
@@ -251,6 +258,10 @@
 
 func (w *world) dispatch(a *attempt) {
 	err := a.ticket.Dispatch(w.now)
+	if err == nil && w.now.Sub(a.began) > worldTimeout {
+		a.ticket.NotRun(ReasonDeadline) // as the request path does
+		return
+	}
 	if err != nil {
 		if a.run == nil && isClosed(a.ticket.granted) {
 			a.ticket.NotRun(ReasonDeadline)
@@ -264,9 +275,10 @@
 
 // send starts a run at a backend server, of this entry or of the other one.
 func (w *world) send(a *attempt) {
-	a.run = &run{ticket: a.ticket, body: fmt.Sprint("run ", len(w.runs[a.id]), " of ", a.id.Key), executor: -1}
+	a.run = &run{ticket: a.ticket, body: fmt.Sprint("run ", len(w.runs[a.id]), " of ", a.id.Key), executor: -1, began: a.began, arrived: true}
 	if rapid.Bool().Draw(w.t, "forward") {
 		a.run.executor = 1 - a.entry
+		a.run.arrived = rapid.Bool().Draw(w.t, "arrived")
 		a.run.ref = a.ticket.Ref()
 	}
 	w.runs[a.id] = append(w.runs[a.id], a.run)
@@ -276,10 +288,10 @@
 // live longer than the owner, which may or may not get the reply.
 func (w *world) finishRun(a *attempt) {
 	r := a.run
-	if r == nil || r.executor < 0 || r.over || r.notRun {
+	if r == nil || r.executor < 0 || r.over || r.notRun || w.now.Sub(r.began) > worldTimeout {
 		return
 	}
-	r.over = true
+	r.over, r.arrived = true, true
 	undelivered := rapid.Bool().Draw(w.t, "undelivered")
 	if undelivered {
 		r.recorder = w.entries[r.executor]
@@ -291,6 +303,53 @@
 	})
 }
 
+// worldTimeout is the longest run.
+const worldTimeout = 5 * time.Second
+
+// resolve lets an operator settle a claim by the truth at that time. Any run
+// that the preconditions fail to exclude would make that a second run or a
+// foreign answer.
+func (w *world) resolve() {
+	id := idOf(rapid.SampledFrom(slices.Concat(w.keys, w.old)).Draw(w.t, "resolve"))
+	if rapid.Bool().Draw(w.t, "later") {
+		w.now = w.now.Add(15 * time.Second)
+	}
+	c := ResolveCommand{
+		ID: id, ChangeID: newUUID(w.now).String(), Author: "operator", Timeout: worldTimeout,
+		MayRun: func(i Incarnation) string {
+			for _, m := range w.entries {
+				if m.cfg.Self == i {
+					return "it lives"
+				}
+			}
+			return ""
+		},
+	}
+	open := w.open(id)
+	if len(open) > 0 && open[0].arrived {
+		c.Result = &Result{Status: 200, Body: []byte(open[0].body)}
+	}
+	w.table.after = func(context.Context) error {
+		if rapid.IntRange(0, 3).Draw(w.t, "lost") == 0 {
+			return platform.ErrUnknownOutcome
+		}
+		return nil
+	}
+	m := w.entries[w.pick()]
+	_, err := m.Resolve(context.Background(), c)
+	w.table.after = nil
+	if errors.Is(err, platform.ErrUnknownOutcome) {
+		_, err = m.Resolve(context.Background(), c)
+	}
+	if err == nil {
+		w.resolved++
+		for _, r := range open {
+			r.notRun = !r.arrived && w.now.Sub(r.began) > worldTimeout
+		}
+		w.check(id, m.Lookup(context.Background(), id))
+	}
+}
+
 // record starts a transaction with outcomes of an executor, or ends it.
 func (w *world) record() {
 	i := w.pick()
@@ -311,6 +370,9 @@
 	if a.run.over && how != "unknown" {
 		how = "done"
 	}
+	if w.now.Sub(a.run.began) > worldTimeout {
+		how = "unknown" // every call ends by the deadline of its request
+	}
 	if how == "done" {
 		w.finishRun(a)
 	}
@@ -319,6 +381,10 @@
 		// The first place proved that it did not run the request; the owner
 		// sends it to another one under the same attempt id.
 		a.run.notRun = true
+		if w.now.Sub(a.began) > worldTimeout {
+			a.ticket.NotRun(ReasonDeadline)
+			return
+		}
 		w.send(a)
 	case "done":
 		a.ticket.Done(Result{Status: 200, Body: []byte(a.run.body)})
@@ -436,7 +502,7 @@
 func (w *world) steps() []func() {
 	return []func(){
 		w.caller, w.collect, w.settle, w.begin, w.caller, w.collect, w.settle, w.begin, w.record,
-		w.caller, w.collect, w.settle, w.renewKey, w.landDelayed, w.crash, w.pause, w.stop, w.collect, w.record,
+		w.caller, w.collect, w.settle, w.renewKey, w.landDelayed, w.crash, w.pause, w.stop, w.collect, w.record, w.resolve,
 	}
 }
 
@@ -444,6 +510,7 @@
 // claim that is never resolved, under crashes, pauses, lost and late writes
 // and outages.
 func TestAtMostOnce(t *testing.T) {
+	resolved := 0
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newWorld(rt)
 		steps := w.steps()
@@ -454,5 +521,7 @@
 		}
 		w.drain()
 		w.answers()
+		resolved += w.resolved
 	})
+	t.Logf("%d claims resolved by the operator", resolved)
 }
--- a/pkg/claim/record_test.go
+++ b/pkg/claim/record_test.go
@@ -24,6 +24,9 @@
 // putRow replaces the row of a key as its owner would.
 func putRow(t *testing.T, table *fakeTable, k Key, s state, attempt string) {
 	r := (&machine{self: ownerOf, attempt: attempt, fp: testFP}).newRow(s)
+	if s == stateDone {
+		r.Result = &Result{}
+	}
 	value, err := r.encode()
 	require.NoError(t, err)
 	key := idOf(k).rowKey()
--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -344,25 +344,6 @@
 	}
 }
 
-// Unresolved implements operator.Backend.
-func (e *Entry) Unresolved(ctx context.Context) ([]operator.UnresolvedClaim, error) {
-	list, err := e.claims.Unresolved(ctx, maxUnresolved)
-	out := make([]operator.UnresolvedClaim, 0, len(list))
-	for _, u := range list {
-		out = append(out, operator.UnresolvedClaim{
-			Customer:    u.ID.Customer,
-			Service:     u.ID.Service,
-			Key:         u.ID.Key,
-			Entry:       u.Owner.Entry,
-			Incarnation: strconv.FormatUint(u.Owner.Number, 16),
-			ClaimedAt:   u.KeyCreated,
-			State:       u.State,
-			Detail:      u.Detail,
-		})
-	}
-	return out, err
-}
-
 // Status implements operator.Backend.
 func (e *Entry) Status(ctx context.Context) (operator.EntryStatus, error) {
 	_, err := e.platform.Instances(ctx)
--- a/pkg/entry/servers.go
+++ b/pkg/entry/servers.go
@@ -143,9 +143,15 @@
 	if seat.FailureDomain == e.settings.FailureDomain {
 		return true
 	}
+	return e.unlisted(now, seat.ID)
+}
+
+// unlisted reports whether the platform's list, read just now, lacks an entry
+// instance. An empty list says nothing.
+func (e *Entry) unlisted(now time.Time, id string) bool {
 	e.leavingMu.Lock()
 	defer e.leavingMu.Unlock()
-	return len(e.platformEntries) > 0 && !e.platformEntries[seat.ID] && now.Sub(e.platformListAt) < platformListFresh
+	return len(e.platformEntries) > 0 && !e.platformEntries[id] && now.Sub(e.platformListAt) < platformListFresh
 }
 
 func (e *Entry) provablyGone(now time.Time, id string) bool {
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -137,9 +137,15 @@
 	return get[RoutesReport](ctx, c, "/v1/routes")
 }
 
-// Unresolved returns the claims whose outcome is not known.
-func (c *Client) Unresolved(ctx context.Context) ([]UnresolvedClaim, error) {
-	return get[[]UnresolvedClaim](ctx, c, "/v1/unresolved")
+// Unresolved returns the claims whose outcome is not known or, with resolved,
+// those that an operator settled.
+func (c *Client) Unresolved(ctx context.Context, resolved bool) ([]UnresolvedClaim, error) {
+	return get[[]UnresolvedClaim](ctx, c, "/v1/unresolved?resolved="+strconv.FormatBool(resolved))
+}
+
+// Resolve settles a claim. The change must have an id.
+func (c *Client) Resolve(ctx context.Context, req ResolveRequest) (ResolveReport, error) {
+	return call[ResolveReport](ctx, c, http.MethodPost, "/v1/unresolved/resolve", req)
 }
 
 // Status returns the state of the entry instance.
--- a/pkg/operator/errors.go
+++ b/pkg/operator/errors.go
@@ -31,6 +31,8 @@
 	Code     Code                  `json:"code"`
 	Findings []findings.Finding    `json:"findings,omitempty"`
 	Conflict *config.ConflictError `json:"conflict,omitempty"`
+	// Claim is set when a claim could not be resolved.
+	Claim *ClaimConflict `json:"claim,omitempty"`
 	// Status is the HTTP status; the body does not repeat it.
 	Status int `json:"-"`
 }
--- a/pkg/operator/routes.go
+++ b/pkg/operator/routes.go
@@ -40,7 +40,8 @@
 		h.route(http.MethodGet, "/v1/traces/:id", byID(b.Trace)),
 		h.route(http.MethodGet, "/v1/burn", plain(b.Burn)),
 		h.route(http.MethodGet, "/v1/routes", plain(b.Routes)),
-		h.route(http.MethodGet, "/v1/unresolved", plain(b.Unresolved)),
+		h.route(http.MethodGet, "/v1/unresolved", h.unresolved),
+		h.route(http.MethodPost, "/v1/unresolved/resolve", h.resolve),
 		h.route(http.MethodGet, "/v1/status", plain(b.Status)),
 	}
 }
@@ -88,24 +89,44 @@
 }
 
 func (h *handlers) submitChange(r *http.Request) (any, error) {
+	var req ChangeRequest
+	if err := readChange(r, &req, &req.Change); err != nil {
+		return nil, err
+	}
+	op, err := req.Operation.Unwrap()
+	if err != nil {
+		return nil, err
+	}
+	return h.backend.SubmitChange(r.Context(), req.Change, op)
+}
+
+// readChange decodes a body that makes the change ch.
+func readChange(r *http.Request, body any, ch *config.Change) error {
 	data, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, MaxChangeBytes))
 	if err != nil {
-		return nil, badRequest("read the change: " + err.Error())
+		return badRequest("read the change: " + err.Error())
 	}
-	var req ChangeRequest
-	if err := json.Unmarshal(data, &req); err != nil {
-		return nil, badRequest("decode the change: " + err.Error())
+	if err := json.Unmarshal(data, body); err != nil {
+		return badRequest("decode the change: " + err.Error())
 	}
 	// The id must come from the client: without it, asking again after a lost
 	// reply would make the change twice.
-	if !config.ValidChangeID(req.Change.ID) {
-		return nil, badRequest("the change needs a valid id")
+	if !config.ValidChangeID(ch.ID) {
+		return badRequest("the change needs a valid id")
 	}
-	op, err := req.Operation.Unwrap()
-	if err != nil {
+	return nil
+}
+
+func (h *handlers) unresolved(r *http.Request) (any, error) {
+	return h.backend.Unresolved(r.Context(), r.URL.Query().Get("resolved") == "true")
+}
+
+func (h *handlers) resolve(r *http.Request) (any, error) {
+	var req ResolveRequest
+	if err := readChange(r, &req, &req.Change); err != nil {
 		return nil, err
 	}
-	return h.backend.SubmitChange(r.Context(), req.Change, op)
+	return h.backend.Resolve(r.Context(), req)
 }
 
 func (h *handlers) document(*http.Request) (any, error) {
--- a/pkg/operator/types.go
+++ b/pkg/operator/types.go
@@ -27,7 +27,12 @@
 	Trace(ctx context.Context, requestID string) (TraceReport, error)
 	Burn(ctx context.Context) (BurnReport, error)
 	Routes(ctx context.Context) (RoutesReport, error)
-	Unresolved(ctx context.Context) ([]UnresolvedClaim, error)
+	// Unresolved returns the claims whose outcome is not known or, with
+	// resolved, those that an operator settled.
+	Unresolved(ctx context.Context, resolved bool) ([]UnresolvedClaim, error)
+	// Resolve settles a claim whose outcome is not known. The same request may
+	// be sent again after a lost reply.
+	Resolve(ctx context.Context, req ResolveRequest) (ResolveReport, error)
 	Status(ctx context.Context) (EntryStatus, error)
 }
 
@@ -119,6 +124,56 @@
 	ClaimedAt   time.Time `json:"claimed_at"`
 	State       string    `json:"state"`
 	Detail      string    `json:"detail,omitempty"`
+	// RowVersion identifies what was seen, for ResolveRequest.
+	RowVersion uint64      `json:"row_version"`
+	Resolution *Resolution `json:"resolution,omitempty"`
+}
+
+// Resolution says how an operator settled a claim.
+type Resolution struct {
+	ChangeID string    `json:"change_id"`
+	Author   string    `json:"author"`
+	Reason   string    `json:"reason"`
+	At       time.Time `json:"at"`
+	Ran      bool      `json:"ran"`
+	From     string    `json:"from"` // state before
+}
+
+// ResolveRequest is the body of POST /v1/unresolved/resolve.
+type ResolveRequest struct {
+	Change   config.Change `json:"change"`
+	Customer string        `json:"customer"`
+	Service  string        `json:"service"`
+	Key      string        `json:"key"`
+	Reason   string        `json:"reason"`
+	// Ran records an answer with Status and Body; otherwise the request did not
+	// run.
+	Ran         bool   `json:"ran"`
+	Status      int    `json:"status,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+	ContentType string `json:"content_type,omitempty"`
+	// RowVersion is the version that the operator saw, or 0 for any.
+	RowVersion uint64 `json:"row_version,omitempty"`
+}
+
+// ResolveReport is the result of a ResolveRequest.
+type ResolveReport struct {
+	Customer   string `json:"customer"`
+	Service    string `json:"service"`
+	Key        string `json:"key"`
+	Ran        bool   `json:"ran"`
+	RowVersion uint64 `json:"row_version"`
+	ChangeID   string `json:"change_id"`
+}
+
+// ClaimConflict says why a claim was not resolved, and what its row holds.
+// Reason is "settled", "changed", "owner_may_run", "too_young", "unproved" or
+// "too_large".
+type ClaimConflict struct {
+	Reason     string      `json:"reason"`
+	State      string      `json:"state,omitempty"`
+	RowVersion uint64      `json:"row_version"`
+	Resolution *Resolution `json:"resolution,omitempty"`
 }
 
 // EntryStatus is the state of the entry instance that answers.
