Bound what a stopping executor writes; callers of tests do not resend

Cause 1: a stop wrote every result of the last 30 s, also those that a live owner had long written. With the share of an entry instance in a deployment of 540 (0.37 transactions/s) that would not fit the 10 s of a stop. Now only results younger than 1 s are written besides those of owners that died or missed the reply. A transaction is bounded by 1 MiB and the group size of claims, not by 64 rows, which could exceed 1 MiB.

Cause 2: the load generator sent a request with a key and no body again when a kept connection broke (net/http), and reported the refused second sending as "not run" although the first had run.

--- a/internal/loadgen/caller.go
+++ b/internal/loadgen/caller.go
@@ -72,7 +72,7 @@
 }
 
 // NewHTTPClient returns a client with bounded connections. Keep-alive is used;
-// requests with bodies are not replayable, so net/http does not resend them.
+// requests with a body or a key are not replayable, so net/http does not resend them.
 func NewHTTPClient() *http.Client {
 	dialer := &net.Dialer{Timeout: time.Second}
 	return &http.Client{Transport: &http.Transport{
@@ -149,7 +149,7 @@
 // instance; final is false if another entry instance may be tried.
 func (c *Caller) send(ctx context.Context, r Request, e entry.LookupEntry) (res Result, sent, final bool) {
 	res = Result{Service: r.Service, Key: r.Key, Client: c.Client, Outcome: OutcomeUnknown, Reason: "connection_lost"}
-	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+c.reach(e.Addr)+"/v1/call/"+r.Service+r.Path, bodyReader(r.Body))
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+c.reach(e.Addr)+"/v1/call/"+r.Service+r.Path, bodyReader(r))
 	if err != nil {
 		res.Reason = err.Error()
 		return res, true, true
@@ -204,12 +204,14 @@
 	}
 }
 
-// bodyReader hides the body's type from net/http, which otherwise resends it.
-func bodyReader(body []byte) io.Reader {
-	if len(body) == 0 {
+// bodyReader hides the body's type from net/http, which otherwise resends it. A
+// request with an Idempotency-Key and no body is resent as well, and a refused
+// connection of the second sending would hide that the first one arrived.
+func bodyReader(r Request) io.Reader {
+	if len(r.Body) == 0 && r.Key == "" {
 		return nil
 	}
-	return io.MultiReader(bytes.NewReader(body))
+	return io.MultiReader(bytes.NewReader(r.Body))
 }
 
 func isDialError(err error) bool {
--- /dev/null
+++ b/internal/loadgen/resend_test.go
@@ -0,0 +1,31 @@
+package loadgen
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a request that the HTTP client sends twice when an entry
+// instance dies: the refused second sending would count as "never sent".
+func TestKeyedRequestIsNotResent(t *testing.T) {
+	var calls atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if calls.Add(1) > 1 {
+			panic(http.ErrAbortHandler) // breaks the kept connection
+		}
+	}))
+	defer s.Close()
+	c := &Caller{HTTP: NewHTTPClient()}
+	defer c.HTTP.CloseIdleConnections()
+	for range 2 {
+		r := Request{Service: "weka", Path: "/x", Method: http.MethodPost, Key: NewKey(), Timeout: 5 * time.Second}
+		c.CallEntry(t.Context(), r, strings.TrimPrefix(s.URL, "http://"))
+	}
+	require.Equal(t, int64(2), calls.Load())
+}
--- a/pkg/claim/record.go
+++ b/pkg/claim/record.go
@@ -16,6 +16,11 @@
 	// kept while the owner of the claim lives. The owner writes it within
 	// maxResultWait and a transaction, unless the store is slow or it dies.
 	outcomeHold = 30 * time.Second
+	// ownerWriteTime is how long an owner that got the reply needs to write it.
+	// A stopping executor leaves older results to their live owners: the writes
+	// of a whole outcomeHold would exceed the time of a stop in a large
+	// deployment, where each entry instance may start few transactions.
+	ownerWriteTime = time.Second
 	// outcomeRetention bounds how long a result is tried to be written, so that
 	// an outage of the store does not keep it in memory for ever.
 	outcomeRetention = time.Hour
@@ -25,7 +30,6 @@
 	// forwarded requests per second, outcomeHold needs 3,000 of them.
 	maxOutcomes     = 4096
 	maxOutcomeBytes = 16 << 20
-	maxOutcomeGroup = 64
 	minOutcomePause = 100 * time.Millisecond
 	maxOutcomePause = 5 * time.Second
 )
@@ -156,6 +160,12 @@
 type outcomeGroup struct {
 	list []*outcome
 	tx   platform.Tx
+	size int
+}
+
+// full reports whether the transaction takes no further row.
+func (g *outcomeGroup) full(limit int) bool {
+	return len(g.list) >= limit || g.size >= maxGroupBytes
 }
 
 func (g *outcomeGroup) has(id ID) bool {
@@ -164,7 +174,7 @@
 
 // takeOutcomes returns the results to write now, or nil. A result is due when
 // its owner does not live, when the owner did not get it, and when this process
-// stops.
+// stops before the owner can have written it.
 func (m *Manager) takeOutcomes(now time.Time) *outcomeGroup {
 	alive := m.liveOwners()
 	m.mu.Lock()
@@ -173,16 +183,17 @@
 	for _, o := range slices.Clone(m.outcomes.list) {
 		owner := o.row.owner()
 		live, asked := alive[owner]
-		o.due = o.due || asked && !live || m.flushing > 0
-		switch age := now.Sub(o.since); {
+		age := now.Sub(o.since)
+		o.due = o.due || asked && !live || m.flushing > 0 && age <= ownerWriteTime
+		switch {
 		case o.inFlight:
 		case age > outcomeRetention:
 			m.cfg.Logger.Error("outcome of a peer's request could not be written", "customer", o.id.Customer,
 				"service", o.id.Service, "key", o.id.Key, "owner", owner.Entry)
 			m.dropOutcome(o)
-		case !o.due && age > outcomeHold:
+		case !o.due && (age > outcomeHold || m.flushing > 0):
 			m.dropOutcome(o)
-		case o.due && len(g.list) < maxOutcomeGroup && !now.Before(m.outcomes.nextTry) && !g.has(o.id):
+		case o.due && !g.full(m.cfg.MaxGroup) && !now.Before(m.outcomes.nextTry) && !g.has(o.id):
 			m.addOutcome(g, o)
 		}
 	}
@@ -219,6 +230,7 @@
 	o.inFlight = true
 	key := o.id.rowKey()
 	g.list = append(g.list, o)
+	g.size += len(key) + len(value)
 	g.tx.Conditions = append(g.tx.Conditions, platform.Condition{Key: key, Version: o.version})
 	g.tx.Puts = append(g.tx.Puts, platform.Put{Key: key, Value: value, TTL: rowRetention})
 }
--- a/pkg/claim/record_test.go
+++ b/pkg/claim/record_test.go
@@ -60,8 +60,14 @@
 		require.Equal(t, "captured", string(d.Result.Body))
 		require.Equal(t, Unknown, m.Lookup(context.Background(), idOf(delivered)).Verdict)
 
-		// A stop writes results at once, whoever lives.
+		// A stop writes new results at once, whoever lives, and leaves others to
+		// their live owners.
 		live = true
+		m.RecordOutcome(forwardedRun(t, table, delivered))
+		time.Sleep(ownerWriteTime + time.Millisecond)
+		tries = m.Stats().Transactions
+		require.NoError(t, m.Flush(ctx))
+		require.Equal(t, tries, m.Stats().Transactions)
 		last := callerKey(time.Now())
 		m.RecordOutcome(forwardedRun(t, table, last))
 		require.NoError(t, m.Flush(ctx))
