claim: a resolution as not run ends an entry-issued key for good

Evicted entry-issued keys are claimed in the store, and the machine of such a key did not count as "issued", so it would have taken over a not_run row that an operator wrote, after other entry instances had answered that the key never runs. And since not_run rows of the owner are no proof any more, other entry instances answered "unknown" for a key settled as not run.

Change: the machine knows that a key is entry-issued (issued) apart from where its claim is (inMemory). A row by hand is a proof like one of a seal.

--- a/pkg/claim/evict.go
+++ b/pkg/claim/evict.go
@@ -66,7 +66,7 @@
 		age := keyTime.Sub(rec.created)
 		mc := &rec.machine
 		expired := age > rowRetention || age > MaxKeyAge && mc.settled()
-		if !mc.issued || mc.phase != finished || mc.inFlight != nil || !expired {
+		if !mc.inMemory || mc.phase != finished || mc.inFlight != nil || !expired {
 			continue
 		}
 		mc.want = nil
--- a/pkg/claim/lookup.go
+++ b/pkg/claim/lookup.go
@@ -43,7 +43,7 @@
 	switch {
 	case err != nil:
 		return unknownDecision(err.Error())
-	case r.State != stateNotRun || r.sealed(key):
+	case r.State != stateNotRun || r.neverRuns(key):
 		return lookupDecision(r, key)
 	case key.Issued:
 		return m.lookupSealed(ctx, id, key, stored.Version)
@@ -70,7 +70,7 @@
 	switch r.State {
 	case stateNotRun:
 		d = refuse(r.Reason, r.Detail)
-		d.NeverRun = r.sealed(key)
+		d.NeverRun = r.neverRuns(key)
 		if key.Issued && !d.NeverRun {
 			d = unknownDecision("the owner of the key may run it again")
 		}
--- a/pkg/claim/machine.go
+++ b/pkg/claim/machine.go
@@ -29,14 +29,17 @@
 // messages and return effects; it does no I/O and reads no clock.
 type machine struct {
 	self Incarnation
-	// issued means that the claim is held in memory only: an entry-issued key
-	// of this incarnation that is newer than every evicted one.
-	issued  bool
-	fp      Fingerprint
-	phase   phase
-	attempt string
-	sentAt  time.Time // when the claim of this attempt was first sent
-	ending  *row      // set in phase finished
+	// issued means that the key was issued by this incarnation, the only one
+	// that may run it.
+	issued bool
+	// inMemory means that the claim is held in memory only: an issued key that
+	// is newer than every evicted one.
+	inMemory bool
+	fp       Fingerprint
+	phase    phase
+	attempt  string
+	sentAt   time.Time // when the claim of this attempt was first sent
+	ending   *row      // set in phase finished
 	// resolution is kept in the rows of later attempts, as an audit trail.
 	resolution *Resolution
 
@@ -76,7 +79,7 @@
 	m.sentAt = time.Time{}
 	m.ending = nil
 	m.failures = 0
-	if m.issued {
+	if m.inMemory {
 		m.phase = granted
 		return effects{grant: true}
 	}
@@ -188,7 +191,7 @@
 	m.ending.Reason = reason
 	m.ending.Detail = detail
 	m.want = m.ending
-	if m.issued && s == stateNotRun {
+	if m.inMemory && s == stateNotRun {
 		// The owner may run the key again, so a copy could become false.
 		m.want = nil
 	}
@@ -214,7 +217,7 @@
 	if m.phase != granted {
 		return ErrNotGranted
 	}
-	if !m.issued && now.Sub(m.sentAt) > DispatchLimit {
+	if !m.inMemory && now.Sub(m.sentAt) > DispatchLimit {
 		return ErrDispatchLimit
 	}
 	m.phase = dispatched
--- a/pkg/claim/manager.go
+++ b/pkg/claim/manager.go
@@ -277,7 +277,7 @@
 // store is claimed and forgotten like a caller-made one.
 func (m *Manager) addRecord(id ID, key Key, fp Fingerprint, inMemory bool) *record {
 	rec := &record{id: id, created: key.Created}
-	rec.machine = machine{self: m.cfg.Self, issued: inMemory, fp: fp}
+	rec.machine = machine{self: m.cfg.Self, issued: key.Issued, inMemory: inMemory, fp: fp}
 	m.records[id] = rec
 	if inMemory {
 		m.issued++
@@ -355,7 +355,7 @@
 		return
 	}
 	m.signalIdle()
-	if !rec.machine.issued || rec.machine.canRestart() {
+	if !rec.machine.inMemory || rec.machine.canRestart() {
 		m.forget(rec)
 		return
 	}
@@ -381,7 +381,7 @@
 	delete(m.records, rec.id)
 	m.bytes -= rec.bytes
 	rec.bytes = 0
-	if rec.machine.issued {
+	if rec.machine.inMemory {
 		m.issued--
 	}
 }
--- a/pkg/claim/property_test.go
+++ b/pkg/claim/property_test.go
@@ -530,7 +530,7 @@
 		for id, rec := range m.records {
 			open := rec.machine.phase == granted || rec.machine.phase == dispatched
 			require.True(w.t, open || rec.machine.settled(), "unwritten claim %s", id.Key)
-			require.True(w.t, open || rec.machine.issued, "key kept in memory without need")
+			require.True(w.t, open || rec.machine.inMemory, "key kept in memory without need")
 		}
 	}
 	w.drainOutcomes()
--- a/pkg/claim/resolve_test.go
+++ b/pkg/claim/resolve_test.go
@@ -152,3 +152,30 @@
 		require.Nil(t, late.want)
 	}
 }
+
+// Guards against an evicted key of the owner that runs after an operator has
+// settled it as not run, and against "unknown" for such a key elsewhere.
+func TestResolvedKeyOfLiveOwner(t *testing.T) {
+	table := newFakeTable()
+	inBubble(t, table, Config{MaxIssued: 1}, func(t *testing.T, owner *Manager) {
+		ctx := context.Background()
+		k := issuedKeyOf(owner, time.Now())
+		d := begin(owner, k, time.Second)
+		require.NoError(t, d.Ticket.Dispatch(time.Now()))
+		d.Ticket.Unknown("connection lost")
+		require.NoError(t, owner.Flush(ctx))
+		time.Sleep(time.Minute)
+		runKey(t, owner, issuedKeyOf(owner, time.Now()), Result{Status: 200}) // evicts k
+
+		other := NewManager(Config{Self: Incarnation{Entry: "entry-2", Number: 8}, Table: table})
+		_, err := other.Resolve(ctx, ResolveCommand{
+			ID: idOf(k), ChangeID: newUUID(time.Now()).String(), Author: "first", Timeout: time.Second,
+			MayRun: func(Incarnation) string { return "it lives" },
+		})
+		require.NoError(t, err)
+		for _, d := range []Decision{begin(owner, k, time.Second), other.Lookup(ctx, idOf(k))} {
+			require.Equal(t, NotRun, d.Verdict, d.Detail)
+			require.True(t, d.NeverRun)
+		}
+	})
+}
--- a/pkg/claim/row.go
+++ b/pkg/claim/row.go
@@ -41,11 +41,11 @@
 
 func (r *row) final() bool { return r.State == stateDone || r.State == stateUnknown }
 
-// sealed reports whether the row says that an entry-issued key never ran and
-// never will. The owner also writes not_run rows, for keys that it claimed in
-// the store and may run again; these name an attempt.
-func (r *row) sealed(key Key) bool {
-	return key.Issued && r.State == stateNotRun && r.Attempt == ""
+// neverRuns reports whether the row says that an entry-issued key never ran and
+// never will: it came from a seal or from an operator. The owner also writes
+// not_run rows, for keys that it claimed in the store and may run again.
+func (r *row) neverRuns(key Key) bool {
+	return key.Issued && r.State == stateNotRun && (r.Attempt == "" || r.byHand())
 }
 
 // sameWrite reports whether a stored row is the effect of writing r.
