entry: collect garbage while a large table is replaced

Ruled out: debug.SetGCPercent, which is a setting of the whole process and would outlive a concurrent change by another instance in it.

--- a/cmd/drcapacity/idle.go
+++ b/cmd/drcapacity/idle.go
@@ -9,11 +9,14 @@
 )
 
 type idleCommand struct {
-	Bin      string        `help:"Folder of the built programs." default:"bin"`
-	Entries  []int         `help:"Numbers of entry instances, with no client blocks." default:"1,2,4,8"`
-	Blocks   []int         `help:"Numbers of client blocks, with one entry instance; published by drctl." default:"0,36000,360000"`
-	Servers  []int         `help:"Numbers of backend servers, with one entry instance." default:"1,12,48"`
-	Duration time.Duration `help:"Time per size." default:"15s"`
+	Bin     string `help:"Folder of the built programs." default:"bin"`
+	Entries []int  `help:"Numbers of entry instances, with no client blocks." default:"1,2,4,8"`
+	Blocks  []int  `help:"Numbers of client blocks, with one entry instance; published by drctl." default:"0,36000,360000"`
+	// BlockEntries above 1 show an entry instance that fetches from a peer; the
+	// figures are then averages, except those of a restart.
+	BlockEntries int           `help:"Numbers of entry instances of the rows with client blocks." default:"1"`
+	Servers      []int         `help:"Numbers of backend servers, with one entry instance." default:"1,12,48"`
+	Duration     time.Duration `help:"Time per size." default:"15s"`
 }
 
 // Run measures processes that get no request from callers.
@@ -65,7 +68,7 @@
 // measureBlocks publishes client blocks to one entry instance, changes one of
 // them and replaces the entry instance.
 func (c *idleCommand) measureBlocks(ctx context.Context, out *report, title string, n int) error {
-	doc := bedDocument(1, bedServers)
+	doc := bedDocument(c.BlockEntries, bedServers)
 	addSites(doc)
 	b, err := startBed(ctx, c.Bin, doc)
 	if err != nil {
@@ -89,6 +92,10 @@
 		if err := p.publish(ctx, out, title+", one change"); err != nil {
 			return err
 		}
+		p.moveAll()
+		if err := p.publish(ctx, out, title+", all changed"); err != nil {
+			return err
+		}
 	}
 	if err := p.restart(ctx, out, title+", restart"); err != nil {
 		return err
--- a/cmd/drcapacity/publish.go
+++ b/cmd/drcapacity/publish.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -30,15 +33,22 @@
 	bin    string
 	list   []config.ClientBlock
 	client *operator.Client
-	id     string
+	// last is the entry instance that is watched and replaced. Unless it is the
+	// first one too, it has to fetch the blocks.
+	last  config.EntryInstance
+	watch *operator.Client
 }
 
 func newPublisher(b *smallBed, bin string, blocks int) (*publisher, error) {
-	p := &publisher{bed: b, bin: bin, id: b.Deployment().EntryInstances[0].ID}
+	entries := b.Deployment().EntryInstances
+	p := &publisher{bed: b, bin: bin, last: entries[len(entries)-1]}
 	// The block of the callers of the bed comes on top.
 	p.list = append(sampleBlocks(blocks, usualRun), b.Deployment().ClientBlocks...)
 	var err error
-	p.client, err = b.Operator(p.id)
+	if p.client, err = b.Operator(entries[0].ID); err != nil {
+		return nil, err
+	}
+	p.watch, err = b.Operator(p.last.ID)
 	return p, err
 }
 
@@ -48,6 +58,17 @@
 	p.list[len(p.list)/2].FailureDomain = siteName(newSite)
 }
 
+// moveAll gives every block to another site, so that no chunk stays.
+func (p *publisher) moveAll() {
+	next := map[string]string{bedDomain: bedDomain}
+	for i := range plannedSites {
+		next[siteName(i)] = siteName((i*5 + 1) % plannedSites)
+	}
+	for i := range p.list {
+		p.list[i].FailureDomain = next[p.list[i].FailureDomain]
+	}
+}
+
 // publish runs drctl and waits until the blocks are in force. The row has the
 // time of the command and of the switch, and what the entry instance used
 // meanwhile.
@@ -60,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	before, err := p.client.Status(ctx)
+	before, err := p.watch.Status(ctx)
 	if err != nil {
 		return err
 	}
@@ -81,8 +102,8 @@
 	out.row(title, field{"command_s", command.Seconds()}, field{"in_force_s", force.Seconds()},
 		field{"uploaded_objects", float64(uploaded.Uploaded)}, field{"uploaded_bytes", float64(uploaded.Bytes)},
 		field{"fetched_bytes", float64(status.ClientBlocks.Fetched.Bytes - before.ClientBlocks.Fetched.Bytes)},
-		field{"entry_cpu_ms", millis(last.cpu - first.cpu)},
-		field{"resident_mb", last.resident / 1e6}, field{"resident_peak_mb", last.peak / 1e6})
+		field{"entry_cpu_ms", millis(last.cpu-first.cpu) / float64(last.entries)},
+		field{"resident_mb", last.resident / float64(last.entries) / 1e6}, field{"resident_peak_mb", last.peak / float64(last.entries) / 1e6})
 	return nil
 }
 
@@ -130,22 +151,22 @@
 
 // restart replaces the entry instance and waits until it is ready.
 func (p *publisher) restart(ctx context.Context, out *report, title string) error {
-	if err := p.bed.Kill(p.id); err != nil {
+	if err := p.bed.Kill(p.last.ID); err != nil {
 		return err
 	}
 	start := time.Now()
-	if err := p.bed.StartEntry(p.id); err != nil {
+	if err := p.bed.StartEntry(p.last.ID); err != nil {
 		return err
 	}
 	if err := p.waitReady(ctx); err != nil {
 		return err
 	}
 	ready := time.Since(start)
-	s, err := p.bed.sample(ctx)
+	s, err := p.usage()
 	if err != nil {
 		return err
 	}
-	status, err := p.client.Status(ctx)
+	status, err := p.watch.Status(ctx)
 	if err != nil {
 		return err
 	}
@@ -153,14 +174,38 @@
 	out.row(title, field{"ready_s", ready.Seconds()}, field{"fetched_bytes", float64(fetched.Bytes)},
 		field{"objects", float64(fetched.FromPeers + fetched.FromStore)}, field{"entry_cpu_ms", millis(s.cpu)},
 		field{"core_percent", 100 * s.cpu.Seconds() / ready.Seconds()},
-		field{"resident_mb", s.resident / 1e6}, field{"resident_peak_mb", s.peak / 1e6})
+		field{"resident_mb", s.resident / 1e6}, field{"resident_peak_mb", s.residentPeak / 1e6})
 	return nil
 }
 
+// usage is that of the youngest entry instance, the one that was replaced.
+func (p *publisher) usage() (usage, error) {
+	pids, err := children("drentry")
+	if err != nil {
+		return usage{}, err
+	}
+	if len(pids) == 0 {
+		return usage{}, errors.New("no entry instance is running")
+	}
+	return usageOf(slices.MaxFunc(pids, func(a, b int) int { return cmp.Compare(startOf(a), startOf(b)) }))
+}
+
+// startOf is the start time of a process in clock ticks since the boot. Process
+// ids do not tell it, because they are used again.
+func startOf(pid int) uint64 {
+	const startTime = 19 // after the name
+	fields, err := statFields(filepath.Join("/proc", strconv.Itoa(pid)))
+	if err != nil || len(fields) <= startTime {
+		return 0
+	}
+	ticks, _ := strconv.ParseUint(fields[startTime], 10, 64)
+	return ticks
+}
+
 // waitReady asks for the readiness only: a status costs the entry instance a
 // read of the platform, and its CPU time is measured meanwhile.
 func (p *publisher) waitReady(ctx context.Context) error {
-	url := "http://" + p.bed.Deployment().EntryInstances[0].CallerAddr + "/v1/ready"
+	url := "http://" + p.last.CallerAddr + "/v1/ready"
 	return pollUntil(ctx, func(ctx context.Context) error {
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 		if err != nil {
@@ -181,7 +226,7 @@
 func (p *publisher) waitForce(ctx context.Context, index string) (operator.EntryStatus, error) {
 	var status operator.EntryStatus
 	return status, pollUntil(ctx, func(ctx context.Context) (err error) {
-		status, err = p.client.Status(ctx)
+		status, err = p.watch.Status(ctx)
 		if err == nil && status.ClientBlocks.Index != index {
 			return errors.Errorf("index %q is in force", status.ClientBlocks.Index)
 		}
--- a/pkg/entry/blockstore.go
+++ b/pkg/entry/blockstore.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/binary"
+	"runtime"
+	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +32,10 @@
 	// each change copies the path to its node. A change of one block differs in
 	// at most 11,200. Above it, a new table is built next to the old one.
 	maxUpdateBlocks = 40_000
+	// collectEvery is the number of decoded chunks between two collections while
+	// a table is built next to a large one. Without them the garbage of all
+	// chunks comes on top of two tables: 84 MB at 360,000 blocks.
+	collectEvery = 16
 )
 
 func blockObject(h blocks.Hash) string { return blockObjectPrefix + h.String() }
@@ -222,7 +229,13 @@
 	if err != nil {
 		return err
 	}
+	before := s.table.Load().Len()
 	s.putInForce(text, x, chunks, table)
+	if before > maxUpdateBlocks {
+		// What the tables do not share is garbage. The next collection would wait
+		// until the heap has twice the size of both.
+		debug.FreeOSMemory()
+	}
 	return nil
 }
 
@@ -278,9 +291,7 @@
 	gone, added := differing(old, x)
 	differ := blocks.Index{Chunks: gone}.Blocks() + blocks.Index{Chunks: added}.Blocks()
 	if len(old.Chunks) == 0 || differ > maxUpdateBlocks {
-		b := lookup.NewBuilder()
-		err := eachBlock(x.Chunks, chunks, func(block blocks.Block) { b.Set(block.Prefix, block.Target) })
-		return b.Table(), err
+		return buildNew(x, chunks, table.Len() > maxUpdateBlocks)
 	}
 	before := map[blocks.Block]bool{}
 	if err := eachBlock(gone, objects, func(block blocks.Block) { before[block] = true }); err != nil {
@@ -308,6 +319,22 @@
 	return b.Table(), nil
 }
 
+// buildNew makes a table from nothing. If it stands beside a large one, garbage
+// is collected meanwhile.
+func buildNew(x blocks.Index, chunks map[blocks.Hash][]byte, beside bool) (*lookup.Table, error) {
+	b := lookup.NewBuilder()
+	for refs := range slices.Chunk(x.Chunks, collectEvery) {
+		err := eachBlock(refs, chunks, func(block blocks.Block) { b.Set(block.Prefix, block.Target) })
+		if err != nil {
+			return nil, err
+		}
+		if beside {
+			runtime.GC()
+		}
+	}
+	return b.Table(), nil
+}
+
 // differing returns the chunks that only one of two indexes has.
 func differing(a, b blocks.Index) (onlyA, onlyB []blocks.Ref) {
 	return a.Missing(b.Has()), b.Missing(a.Has())
--- a/pkg/lookup/table.go
+++ b/pkg/lookup/table.go
@@ -82,5 +82,10 @@
 	return t.domains[i], true
 }
 
-// Len returns the number of client blocks.
-func (t *Table) Len() int { return t.blocks.Size() }
+// Len returns the number of client blocks; a nil table has none.
+func (t *Table) Len() int {
+	if t == nil {
+		return 0
+	}
+	return t.blocks.Size()
+}
