entry: a replaced process that resumes admits no work and exits

Cause: a process that was paused, replaced at its seat and resumed read the configuration and went on. It then used its share beside its successor, so backend servers had more requests than slots.

After a pause of at least 500 ms plus the shortest hold-off of its backend servers, a process now stays not_ready until a peer answers a question that was asked after the pause and names this incarnation as the newest one at the seat (new field 3 of ConfigDocument, which a process reads after a pause anyway). Heartbeats carry the same number in field 10. It can only disprove, at any time: a heartbeat may have been sent before the successor started. A peer gives no evidence during its first second and while it is itself suspended. A process that learns of a newer incarnation stops admission, finishes its requests, writes its claims and exits with code 1.

Ruled out: the platform's instance list as proof. It lags without a known bound, and its rows name no incarnation, so a seat looks the same with and without a successor. An instance without any configured peer cannot get a confirmation and goes on after it has read the configuration, as before.

New scenario entry_succeeded: the links of a seat lead to a successor on other ports while the old process is stopped (new target of the link stand-in). The old process resumes under load.

--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -88,7 +88,7 @@
 	// The kernel has accepted the connection at once. The first bytes wait for
 	// the round trip that the handshake would take.
 	time.Sleep(2 * l.current().Delay.Std())
-	far, err := net.DialTimeout("tcp", l.settings.Target, dialTimeout)
+	far, err := net.DialTimeout("tcp", l.target(), dialTimeout)
 	if err != nil {
 		_ = near.SetLinger(0)
 		_ = near.Close()
@@ -103,6 +103,13 @@
 	l.remove(p)
 }
 
+func (l *link) target() string {
+	if moved := l.current().Target; moved != "" {
+		return moved
+	}
+	return l.settings.Target
+}
+
 func (l *link) add(p *pair) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/standin/link/settings.go
+++ b/internal/standin/link/settings.go
@@ -59,6 +59,9 @@
 	// carries the n-th byte from now on in that direction, after that byte.
 	CloseAfterForward int64 `json:"close_after_forward"`
 	CloseAfterReverse int64 `json:"close_after_reverse"`
+	// Target, when set, replaces the configured one for new connections, as
+	// when an address moves to another process. Open connections stay.
+	Target string `json:"target,omitempty"`
 }
 
 func (s State) valid() bool {
@@ -70,5 +73,7 @@
 	return s.Delay >= 0 && s.CloseAfterForward >= 0 && s.CloseAfterReverse >= 0
 }
 
-// healed is the state without faults; the delay stays.
-func (s State) healed() State { return State{Delay: s.Delay, Freeze: FreezeNone} }
+// healed is the state without faults; the delay and the target stay.
+func (s State) healed() State {
+	return State{Delay: s.Delay, Freeze: FreezeNone, Target: s.Target}
+}
--- a/pkg/claim/property_test.go
+++ b/pkg/claim/property_test.go
@@ -257,9 +257,7 @@
 }
 
 func (w *world) kill(i int) {
-	for _, g := range w.flying[i] {
-		w.delayed = append(w.delayed, g)
-	}
+	w.delayed = append(w.delayed, w.flying[i]...)
 	w.flying[i] = nil
 	for _, a := range w.attempts {
 		a.dead = a.dead || a.entry == i
@@ -348,8 +346,8 @@
 // writeOut lets the store work again until nothing is left to write.
 func (w *world) writeOut() {
 	for i, m := range w.entries {
+		w.delayed = append(w.delayed, w.flying[i]...)
 		for _, g := range w.flying[i] {
-			w.delayed = append(w.delayed, g)
 			m.settle(g.group, platform.ErrUnknownOutcome)
 		}
 		w.flying[i] = nil
--- a/pkg/entry/configsync.go
+++ b/pkg/entry/configsync.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/membership"
 	"github.com/dandelionrack/dandelionrack/pkg/wire"
 )
 
@@ -82,14 +84,15 @@
 	e.adopt(e.newestConfig(ctx), "start")
 }
 
-// newestConfig asks the table service and all seeds at once and returns the
+// newestConfig asks the table service and all peers at once and returns the
 // highest version of the answers that arrive in time, or nil. Taking the first
 // answer would let a replaced instance go back to an older version than its
 // predecessor had, because reads of the table service can be stale.
 func (e *Entry) newestConfig(ctx context.Context) *config.Document {
-	answers := make(chan *config.Document, len(e.settings.Seeds)+1)
+	addrs := e.peerAddrs()
+	answers := make(chan *config.Document, len(addrs)+1)
 	go func() { answers <- e.loadConfig(ctx) }()
-	for _, addr := range e.settings.Seeds {
+	for _, addr := range addrs {
 		go func() { answers <- e.fetchConfig(ctx, addr) }()
 	}
 	var best *config.Document
@@ -102,16 +105,18 @@
 	return best
 }
 
-// afterPause brings the configuration up to date before this instance admits
-// work again: its shares may have been given to others while it was paused.
-// When nobody answers, it goes on with what it has, like an instance in a
-// failure domain that is cut off.
-func (e *Entry) afterPause(gap time.Duration) {
-	e.log.Warn("process was paused; reading the configuration before work goes on", "gap", gap)
-	ctx, cancel := context.WithTimeout(context.Background(), configCallTimeout)
-	defer cancel()
-	e.adopt(e.newestConfig(ctx), "after a pause")
-	e.gate.resume()
+// peerAddrs are the addresses of the seeds and of all configured peers.
+func (e *Entry) peerAddrs() []string {
+	out := slices.Clone(e.settings.Seeds)
+	if v := e.currentView(); v != nil {
+		for id, in := range v.entries {
+			if id != e.settings.ID {
+				out = append(out, in.PeerAddr)
+			}
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
 }
 
 // pollConfig reads the stored document, in case a push was lost.
@@ -135,6 +140,7 @@
 // fetchConfig asks a peer for a document newer than ours, and returns nil if
 // it has none.
 func (e *Entry) fetchConfig(ctx context.Context, addr string) *config.Document {
+	asked := time.Now()
 	rep, err := e.callPeer(ctx, addr, &wire.Request{Call: &wire.Request_ConfigFetch{
 		ConfigFetch: &wire.ConfigFetch{HaveVersion: e.configVersion()},
 	}})
@@ -142,6 +148,7 @@
 		e.log.Debug("configuration could not be read from a peer", "peer", addr, "error", err)
 		return nil
 	}
+	e.updateSeat(func(s *membership.Seat) { s.Answer(asked, rep.GetConfig().GetNewestIncarnation()) })
 	data := rep.GetConfig().GetDocument()
 	if len(data) == 0 {
 		return nil
@@ -179,9 +186,9 @@
 	}
 }
 
-func (e *Entry) handleConfigFetch(f *wire.ConfigFetch) *wire.Response {
+func (e *Entry) handleConfigFetch(from string, f *wire.ConfigFetch) *wire.Response {
 	doc := e.holder.Current()
-	out := &wire.ConfigDocument{}
+	out := &wire.ConfigDocument{NewestIncarnation: e.newestIncarnation(from)}
 	if doc != nil && doc.Version > f.GetHaveVersion() {
 		data, err := config.Encode(doc)
 		if err != nil {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -78,6 +78,12 @@
 	callers   *httpserver.Server
 	operators *httpserver.Server
 
+	seatMu   sync.Mutex
+	seat     *membership.Seat
+	replaced chan struct{} // closed when a newer process is known at this seat
+	// unconfirmed is set while no work may be admitted after a pause.
+	unconfirmed atomic.Bool
+
 	leaving  atomic.Bool
 	met      atomic.Bool // see metPeers
 	inFlight sync.WaitGroup
@@ -117,6 +123,8 @@
 		leavingHealth:   map[string]bool{},
 		unreachable:     map[string]bool{},
 		confirmed:       map[string]bool{},
+		seat:            membership.NewSeat(self.Number),
+		replaced:        make(chan struct{}),
 		serversChanged:  make(chan struct{}, 1),
 		burn:            burn.New(burn.Config{}),
 		spans:           trace.NewRing(trace.RingConfig{}),
@@ -202,16 +210,23 @@
 	e.log.Info("entry instance started", "incarnation", e.self.Number, "callers", e.settings.CallerAddr,
 		"peers", e.settings.PeerAddr, "operators", e.settings.OperatorAddr)
 
+	var failure error
 	select {
 	case <-ctx.Done():
 		e.stop()
+	case <-e.replaced:
+		e.stopReplaced()
+		failure = ErrReplaced
 	case <-groupCtx.Done():
 		e.log.Error("entry instance failed; stopping")
 	}
 	cancel()
 	e.peers.Close()
 	e.backends.Close()
-	return group.Wait()
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	return failure
 }
 
 func (e *Entry) startTimers(ctx context.Context, group *errgroup.Group) {
@@ -271,7 +286,7 @@
 	case *wire.Request_Forward:
 		return e.handleForward(ctx, call.Forward)
 	case *wire.Request_ConfigFetch:
-		return e.handleConfigFetch(call.ConfigFetch)
+		return e.handleConfigFetch(req.GetFromEntry(), call.ConfigFetch)
 	case *wire.Request_ConfigPush:
 		return e.handleConfigPush(call.ConfigPush)
 	case *wire.Request_Leave:
@@ -339,7 +354,7 @@
 // instance, so that it has a seat.
 func (e *Entry) configured() bool {
 	v := e.currentView()
-	if v == nil {
+	if v == nil || e.unconfirmed.Load() {
 		return false
 	}
 	_, ok := v.entries[e.settings.ID]
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -33,7 +33,8 @@
 	lastTick  time.Time
 	suspended bool
 	// onPause is called without the lock when a pause was noticed. It has to
-	// call resume after it has brought the configuration up to date.
+	// call resume after it has brought the configuration up to date, unless a
+	// newer process has taken over the seat.
 	onPause func(gap time.Duration)
 }
 
@@ -180,6 +181,21 @@
 	go g.onPause(gap)
 }
 
+// isSuspended reports whether this process was paused and has not caught up.
+func (g *gate) isSuspended() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.noticePause(time.Now())
+	return g.suspended
+}
+
+// suspend stops admission for good.
+func (g *gate) suspend() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.suspended = true
+}
+
 // resume ends a suspension.
 func (g *gate) resume() {
 	g.mu.Lock()
--- a/pkg/entry/heartbeat.go
+++ b/pkg/entry/heartbeat.go
@@ -120,6 +120,8 @@
 		QueueLength:      map[string]int32{},
 		LeavingServers:   e.ownLeavingServers(),
 		PredecessorClean: e.predecessorClean(to),
+
+		NewestIncarnation: e.newestIncarnation(to),
 	}
 	v := e.currentView()
 	if v == nil {
@@ -150,6 +152,7 @@
 			LeavingServers: hb.GetLeavingServers(),
 		})
 	})
+	e.updateSeat(func(s *membership.Seat) { s.Learn(hb.GetNewestIncarnation()) })
 	if hb.GetPredecessorClean() {
 		e.clearHoldOff(from)
 	}
--- a/pkg/entry/stop.go
+++ b/pkg/entry/stop.go
@@ -31,6 +31,21 @@
 	e.announceLeave(false)
 	time.Sleep(e.settings.LookupTTL.Std() + leaveMargin)
 
+	e.finishWork()
+	e.announceLeave(e.nothingHeld())
+	e.closeOperators()
+}
+
+// stopReplaced ends a process whose seat has a newer one. It admits nothing
+// more and announces nothing: the seat belongs to the newer process.
+func (e *Entry) stopReplaced() {
+	e.leaving.Store(true)
+	e.finishWork()
+	e.closeOperators()
+}
+
+// finishWork waits for the requests in flight and writes what must last.
+func (e *Entry) finishWork() {
 	// No time limit: a planned stop cuts no request. Each request ends by its
 	// own deadline.
 	ctx := context.Background()
@@ -42,8 +57,10 @@
 	}
 	e.inFlight.Wait()
 	e.flush()
-	e.announceLeave(e.nothingHeld())
-	if err := e.operators.Shutdown(ctx); err != nil {
+}
+
+func (e *Entry) closeOperators() {
+	if err := e.operators.Shutdown(context.Background()); err != nil {
 		e.log.Error("operators' listener", "error", err)
 	}
 	e.log.Info("stopped")
--- a/test/scenarios/bed_test.go
+++ b/test/scenarios/bed_test.go
@@ -72,11 +72,14 @@
 }
 
 // cmdEntry acts on an entry instance:
-// entry kill|start|pause|resume ID, or entry stop ID [within=30s] [as=NAME &]
+// entry kill|start|pause|resume ID, entry stop ID [within=30s] [as=NAME &],
+// entry succeed ID starts a second process at its seat and leads the links to
+// it, and entry exited ID [code=1] [within=30s] requires the end of a process.
 func cmdEntry(s *scenario, _ *testscript.TestScript, a *arguments) error {
 	verb, id := a.word("verb"), a.word("entry instance")
 	within := a.duration("within", 30*time.Second)
 	name := a.text("as", "stop of "+id)
+	code := int(a.number("code", 0))
 	if err := a.done(); err != nil {
 		return err
 	}
@@ -88,6 +91,14 @@
 		s.restarts = append(s.restarts, testbed.Restart{Entry: id, At: time.Now()})
 		s.mu.Unlock()
 		return s.bed.StartEntry(id)
+	case "succeed":
+		return s.bed.StartSuccessor(s.ctx, id)
+	case "exited":
+		got, err := s.bed.ExitCode(s.ctx, id, within)
+		if err == nil && got != code {
+			err = errors.Errorf("exit code %d", got)
+		}
+		return err
 	case "pause":
 		return s.bed.Signal(id, syscall.SIGSTOP)
 	case "resume":
--- a/test/scenarios/call_test.go
+++ b/test/scenarios/call_test.go
@@ -198,7 +198,9 @@
 
 // cmdLoad sends requests at a fixed rate as callers do:
 // load NAME service=S rate=50 for=5s [domains=D|D] [callers=2] [timeout=2s]
-// [header=NAME:VALUE] [body=BYTES] [&]
+// [header=NAME:VALUE] [body=BYTES] [direct=ID] [&]
+// With direct= one caller that all such loads share knows only this entry
+// instance, uses no link, and keeps its lookups for their TTL.
 func cmdLoad(s *scenario, ts *testscript.TestScript, a *arguments) error {
 	name := a.word("name")
 	stream := loadgen.Stream{
@@ -216,6 +218,11 @@
 	length := a.duration("for", 5*time.Second)
 	callers, err := s.loadCallers(a.list("domains"), int(a.number("callers", 2)))
 	a.fail(err)
+	if id, direct := a.take("direct"); direct {
+		c, err := s.directCaller(id)
+		a.fail(err)
+		callers = []*loadgen.Caller{c}
+	}
 	if err := a.done(); err != nil {
 		return err
 	}
@@ -224,6 +231,18 @@
 	})
 }
 
+func (s *scenario) directCaller(id string) (*loadgen.Caller, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name := "direct/" + id
+	if c, ok := s.callers[name]; ok {
+		return c, nil
+	}
+	c, err := s.bed.DirectCaller(id, s.token)
+	s.callers[name] = c
+	return c, err
+}
+
 // loadCallers returns callers of the named failure domains in turn, or of all.
 func (s *scenario) loadCallers(domains []string, each int) ([]*loadgen.Caller, error) {
 	if domains == nil {
