entry: a second pause restarts the wait; paused peers still give evidence

Two faults of the wait after a pause, found on rereading it. A second pause during the wait did not void the answers to questions asked before it. And a peer gave no evidence while it was itself suspended, so instances that were all paused together (a suspended host) waited for each other forever.

The gate now remembers when the last pause was noticed; resume fails if there was a newer one. The wait ends with Run.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -81,6 +81,7 @@
 	seatMu   sync.Mutex
 	seat     *membership.Seat
 	replaced chan struct{} // closed when a newer process is known at this seat
+	stopped  chan struct{} // closed at the end of Run
 	// unconfirmed is set while no work may be admitted after a pause.
 	unconfirmed atomic.Bool
 
@@ -125,6 +126,7 @@
 		confirmed:       map[string]bool{},
 		seat:            membership.NewSeat(self.Number),
 		replaced:        make(chan struct{}),
+		stopped:         make(chan struct{}),
 		serversChanged:  make(chan struct{}, 1),
 		burn:            burn.New(burn.Config{}),
 		spans:           trace.NewRing(trace.RingConfig{}),
@@ -199,6 +201,7 @@
 		Start:         time.Now().Add(membership.DefaultRefusalFresh),
 		NoPredecessor: e.settings.NoPredecessor,
 	}), e.afterPause)
+	defer close(e.stopped)
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	e.poller = backend.NewPoller(background, backend.PollerConfig{Interval: reportInterval}, e.handleReport)
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -31,6 +31,7 @@
 
 	wake      chan struct{} // a request was queued
 	lastTick  time.Time
+	pausedAt  time.Time // when the last pause was noticed
 	suspended bool
 	// onPause is called without the lock when a pause was noticed. It has to
 	// call resume after it has brought the configuration up to date, unless a
@@ -174,19 +175,23 @@
 // lock.
 func (g *gate) noticePause(now time.Time) {
 	gap := now.Sub(g.lastTick)
-	if g.lastTick.IsZero() || gap < pauseLimit || g.suspended {
+	if g.lastTick.IsZero() || gap < pauseLimit {
+		return
+	}
+	g.pausedAt = now
+	if g.suspended {
 		return
 	}
 	g.suspended = true
 	go g.onPause(gap)
 }
 
-// isSuspended reports whether this process was paused and has not caught up.
-func (g *gate) isSuspended() bool {
+// lastPause returns when the last pause was noticed.
+func (g *gate) lastPause() time.Time {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.noticePause(time.Now())
-	return g.suspended
+	return g.pausedAt
 }
 
 // suspend stops admission for good.
@@ -196,12 +201,19 @@
 	g.suspended = true
 }
 
-// resume ends a suspension.
-func (g *gate) resume() {
+// resume ends a suspension and reports true, unless there was another pause
+// after the one that was noticed at a time.
+func (g *gate) resume(noticed time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := time.Now()
+	g.noticePause(now)
+	if g.pausedAt.After(noticed) {
+		return false
+	}
 	g.suspended = false
-	g.lastTick = time.Now()
+	g.lastTick = now
+	return true
 }
 
 // tick advances the controller and returns the time until the next tick.
--- a/pkg/entry/seat.go
+++ b/pkg/entry/seat.go
@@ -21,24 +21,53 @@
 // that there is none.
 func (e *Entry) afterPause(gap time.Duration) {
 	e.log.Warn("process was paused; reading the configuration before work goes on", "gap", gap)
-	e.updateSeat(func(s *membership.Seat) { s.Pause(time.Now(), gap, e.successorDelay()) })
-	e.askPeers()
-	// The successor reckoned with the newest configuration.
-	e.updateSeat(func(s *membership.Seat) { s.Pause(time.Now(), gap, e.successorDelay()) })
-	for e.seatWaiting() && !e.alone() {
-		if e.isReplaced() {
-			return // the gate stays suspended
-		}
+	for {
+		noticed := e.gate.lastPause()
+		delay := e.successorDelay()
+		e.updateSeat(func(s *membership.Seat) { s.Pause(time.Now(), gap, delay) })
 		e.askPeers()
-		time.Sleep(seatPause)
+		// A successor reckons with the newest configuration.
+		if shorter := e.successorDelay(); gap < delay && gap >= shorter {
+			e.updateSeat(func(s *membership.Seat) { s.Pause(time.Now(), gap, shorter) })
+		}
+		for e.seatWaiting() && !e.alone() {
+			if e.ended() {
+				return // the gate stays suspended
+			}
+			time.Sleep(seatPause)
+			e.askPeers()
+		}
+		if e.admitAgain(noticed) {
+			return
+		}
+		// Paused again meanwhile: answers may be older than that pause.
+		gap = e.successorDelay()
 	}
+}
+
+// admitAgain ends the suspension unless there was another pause. It reports
+// whether afterPause is finished.
+func (e *Entry) admitAgain(noticed time.Time) bool {
 	e.seatMu.Lock()
 	defer e.seatMu.Unlock()
 	if e.seat.Replaced() {
-		return
+		return true
+	}
+	if !e.gate.resume(noticed) {
+		return false
 	}
 	e.unconfirmed.Store(false)
-	e.gate.resume()
+	return true
+}
+
+// ended reports whether this process admits nothing any more.
+func (e *Entry) ended() bool {
+	select {
+	case <-e.stopped:
+		return true
+	default:
+		return e.isReplaced()
+	}
 }
 
 func (e *Entry) askPeers() {
@@ -106,11 +135,12 @@
 	}
 }
 
-// newestIncarnation is what this instance tells a peer about the peer's seat;
-// 0 while it cannot know of a successor, because it has just started or has
-// itself been paused.
+// newestIncarnation is what this instance tells a peer about the peer's seat.
+// It is 0 during the time after a start or a pause in which a successor may not
+// have been heard yet. A peer that waits itself still answers, because otherwise
+// instances that were all paused at one time would wait for each other forever.
 func (e *Entry) newestIncarnation(peerID string) uint64 {
-	if time.Since(e.started) < meetingTime || e.gate.isSuspended() {
+	if time.Since(e.started) < meetingTime || time.Since(e.gate.lastPause()) < meetingTime {
 		return 0
 	}
 	e.membersMu.Lock()
