--- a/pkg/claim/seal_test.go
+++ b/pkg/claim/seal_test.go
@@ -101,3 +101,32 @@
 	})
 	require.Equal(t, Recorded, other.Lookup(context.Background(), idOf(late)).Verdict)
 }
+
+// Guards against "never ran" for an entry-issued key that its owner claimed in
+// the store and may run again, and against "not run" from a lagging read.
+func TestLookupOfNotRunRows(t *testing.T) {
+	table := newFakeTable()
+	owner := Incarnation{"entry-1", 1}
+	other := NewManager(Config{Self: Incarnation{"entry-2", 1}, Table: table})
+	put := func(k Key, s state) {
+		r := (&machine{self: owner, attempt: "a"}).newRow(s)
+		r.Result = &Result{Status: 200}
+		value, err := r.encode()
+		require.NoError(t, err)
+		require.NoError(t, table.apply(platform.Tx{Puts: []platform.Put{{Key: idOf(k).rowKey(), Value: value}}}))
+	}
+	issued := mustParse(NewIssuedKey(owner, time.Now()))
+	put(issued, stateNotRun)
+	require.Equal(t, Unknown, other.Lookup(context.Background(), idOf(issued)).Verdict)
+	require.NoError(t, table.apply(platform.Tx{Puts: []platform.Put{{Key: sealRow(owner)}}}))
+	d := other.Lookup(context.Background(), idOf(issued))
+	require.Equal(t, NotRun, d.Verdict)
+	require.True(t, d.NeverRun)
+
+	k := callerKey(time.Now())
+	put(k, stateNotRun)
+	require.Equal(t, NotRun, other.Lookup(context.Background(), idOf(k)).Verdict)
+	put(k, stateDone)
+	table.lag = func() int { return 1 }
+	require.Equal(t, Recorded, other.Lookup(context.Background(), idOf(k)).Verdict)
+}
