--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -270,20 +270,6 @@
 	}
 }
 
-// Ended returns the exit code of a process that has ended by itself.
-func (b *Bed) Ended(name string) (int, error) {
-	p, err := b.process(name)
-	if err != nil {
-		return 0, err
-	}
-	select {
-	case <-p.done:
-		return p.cmd.ProcessState.ExitCode(), nil
-	default:
-		return 0, errors.Errorf("%s is running", name)
-	}
-}
-
 // StartEntry starts an entry instance again, as a replacement that knows
 // nothing of its predecessor. It does not wait for readiness.
 func (b *Bed) StartEntry(id string) error { return b.StartEntryWith(id, CertificateGood) }
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -31,9 +31,11 @@
 
 	wake      chan struct{} // a request was queued
 	lastTick  time.Time
+	pausedAt  time.Time // when the last pause was noticed
 	suspended bool
 	// onPause is called without the lock when a pause was noticed. It has to
-	// call resume after it has brought the configuration up to date.
+	// call resume after it has brought the configuration up to date, unless a
+	// newer process has taken over the seat.
 	onPause func(gap time.Duration)
 }
 
@@ -173,19 +175,45 @@
 // lock.
 func (g *gate) noticePause(now time.Time) {
 	gap := now.Sub(g.lastTick)
-	if g.lastTick.IsZero() || gap < pauseLimit || g.suspended {
+	if g.lastTick.IsZero() || gap < pauseLimit {
+		return
+	}
+	g.pausedAt = now
+	if g.suspended {
 		return
 	}
 	g.suspended = true
 	go g.onPause(gap)
 }
 
-// resume ends a suspension.
-func (g *gate) resume() {
+// lastPause returns when the last pause was noticed.
+func (g *gate) lastPause() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.noticePause(time.Now())
+	return g.pausedAt
+}
+
+// suspend stops admission for good.
+func (g *gate) suspend() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.suspended = true
+}
+
+// resume ends a suspension and reports true, unless there was another pause
+// after the one that was noticed at a time.
+func (g *gate) resume(noticed time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := time.Now()
+	g.noticePause(now)
+	if g.pausedAt.After(noticed) {
+		return false
+	}
 	g.suspended = false
-	g.lastTick = time.Now()
+	g.lastTick = now
+	return true
 }
 
 // tick advances the controller and returns the time until the next tick.
--- a/test/scenarios/bed_test.go
+++ b/test/scenarios/bed_test.go
@@ -84,12 +84,14 @@
 
 // cmdEntry acts on an entry instance:
 // entry kill|pause|resume ID, entry start ID [certificate=good|expired|foreign|none],
-// entry stop ID [within=30s] [as=NAME &], or entry ended ID [code=1]
+// entry stop ID [within=30s] [as=NAME &], entry succeed ID starts a second
+// process at its seat and leads the links to it, and entry exited ID [code=1]
+// [within=30s] requires the end of a process.
 func cmdEntry(s *scenario, _ *testscript.TestScript, a *arguments) error {
 	verb, id := a.word("verb"), a.word("entry instance")
 	within := a.duration("within", 30*time.Second)
 	name := a.text("as", "stop of "+id)
-	code := int(a.number("code", 1))
+	code := int(a.number("code", 0))
 	certificate := testbed.Certificate(a.text("certificate", string(testbed.CertificateGood)))
 	if err := a.done(); err != nil {
 		return err
@@ -102,16 +104,18 @@
 		s.restarts = append(s.restarts, testbed.Restart{Entry: id, At: time.Now()})
 		s.mu.Unlock()
 		return s.bed.StartEntryWith(id, certificate)
+	case "succeed":
+		return s.bed.StartSuccessor(s.ctx, id)
+	case "exited":
+		got, err := s.bed.ExitCode(s.ctx, id, within)
+		if err == nil && got != code {
+			err = errors.Errorf("exit code %d", got)
+		}
+		return err
 	case "pause":
 		return s.bed.Signal(id, syscall.SIGSTOP)
 	case "resume":
 		return s.bed.Signal(id, syscall.SIGCONT)
-	case "ended":
-		have, err := s.bed.Ended(id)
-		if err == nil && have != code {
-			err = errors.Errorf("exit code %d, want %d", have, code)
-		}
-		return err
 	case "stop":
 		return s.start(name, a.background, func() ([]loadgen.Result, error) {
 			return nil, s.stop(id, within)
