peer, entry: heartbeats on one stream per ordered pair

Cause: one call per pair and interval opened a yamux stream for each heartbeat. Of 9.3 to 10.3 KB/s of peer traffic per node at 8 idle nodes, there were 141 to 155 window frames, 70 to 77 data frames and 77 to 98 ping frames a second, each with 12 bytes of header, and yamux wrote header and body of a frame with two system calls.

- Pool.OpenHeartbeats opens the stream, Server gives states to a HeartbeatHandler, pkg/heartbeat encodes.
A gap ends the stream.
- Chosen: one stream per ordered pair.
Each side dials, sees refused connections and recovers by itself; no rule is needed for two sides that dial at once or start in any order.
Ruled out: one two-way stream per pair.
It saves one session a pair, but only the dialing side would get the refusals that prove that a process is gone.
- The end of a stream dials at once, so a killed process is noticed before the next interval.
A peer that is quiet for 400 ms has its connection checked by a ping (limit 1 s) and gets a new stream, at whose start it checks its own connection: a call in either direction used to carry both heartbeats, streams do not.
- Regular pings become rarer where something else finds a dead session: 2 s with a heartbeat stream, 4 s on a bulk session without calls.
- A frame with a body up to 4 KiB is one write.
- State, configuration version and servers seen leaving are sent at once.
- peer_traffic counts frames and bytes; `drcapacity idle` reports them, and `drcapacity heartbeats` measures these streams in place of a model.

Changed tests: the stand-in peer of TestStrayReplyIsDropped reports its free slots by a stream, because entry instances no longer call Heartbeat.

--- a/cmd/drcapacity/bed.go
+++ b/cmd/drcapacity/bed.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -12,6 +15,7 @@
 	platformstandin "github.com/dandelionrack/dandelionrack/internal/standin/platform"
 	"github.com/dandelionrack/dandelionrack/internal/testbed"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/peer"
 )
 
 // settleTime passes between the start of a bed and the first figure, so that
@@ -61,10 +65,13 @@
 	resident float64
 	peak     float64
 	store    platformstandin.Stats
+	ioBytes  float64
+	ioCalls  float64
+	traffic  map[string]peer.LaneTraffic
 }
 
 func (b *smallBed) sample(ctx context.Context) (sample, error) {
-	s := sample{at: time.Now()}
+	s := sample{at: time.Now(), traffic: map[string]peer.LaneTraffic{}}
 	pids, err := children("drentry")
 	if err != nil {
 		return s, err
@@ -78,20 +85,80 @@
 		s.cpu += u.cpu
 		s.resident += u.resident
 		s.peak += u.residentPeak
+		s.ioBytes += u.ioBytes
+		s.ioCalls += u.ioCalls
+	}
+	for _, in := range b.Deployment().EntryInstances {
+		if err := s.addTraffic(ctx, in.OperatorAddr); err != nil {
+			return s, err
+		}
 	}
 	s.store, err = b.PlatformStats(ctx)
 	return s, err
 }
 
+// addTraffic reads the counters of one entry instance.
+func (s *sample) addTraffic(ctx context.Context, operatorAddr string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+operatorAddr+"/debug/vars", http.NoBody)
+	if err != nil {
+		return errors.Wrap(err, "counters")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "counters")
+	}
+	defer resp.Body.Close()
+	var vars struct {
+		Entry struct {
+			Traffic map[string]peer.LaneTraffic `json:"peer_traffic"`
+		} `json:"dandelionrack"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&vars); err != nil {
+		return errors.Wrap(err, "counters")
+	}
+	for lane, t := range vars.Entry.Traffic {
+		sum := s.traffic[lane]
+		sum.Bytes += t.Bytes
+		sum.Data += t.Data
+		sum.Windows += t.Windows
+		sum.Pings += t.Pings
+		s.traffic[lane] = sum
+	}
+	return nil
+}
+
+// trafficSince are frames and bytes of the peer protocol per entry instance
+// and second, sent and received: what one sends another one receives. Other
+// transfers are HTTP, the files that go-zero reads for its statistics, and logs.
+func (s sample) trafficSince(first sample, per float64) []field {
+	var all peer.LaneTraffic
+	var out []field
+	for _, lane := range slices.Sorted(maps.Keys(s.traffic)) {
+		now, then := s.traffic[lane], first.traffic[lane]
+		out = append(out, field{lane + "_bytes_per_s", 2 * float64(now.Bytes-then.Bytes) / per})
+		all.Bytes += now.Bytes - then.Bytes
+		all.Data += now.Data - then.Data
+		all.Windows += now.Windows - then.Windows
+		all.Pings += now.Pings - then.Pings
+	}
+	return append(out,
+		field{"peer_bytes_per_s", 2 * float64(all.Bytes) / per},
+		field{"other_io_bytes_per_s", (s.ioBytes - first.ioBytes - 2*float64(all.Bytes)) / per},
+		field{"data_frames_per_s", 2 * float64(all.Data) / per},
+		field{"window_frames_per_s", 2 * float64(all.Windows) / per},
+		field{"ping_frames_per_s", 2 * float64(all.Pings) / per},
+		field{"io_calls_per_s", (s.ioCalls - first.ioCalls) / per})
+}
+
 // since are the figures per entry instance and second between two samples.
 func (s sample) since(first sample) []field {
 	per := s.at.Sub(first.at).Seconds() * float64(s.entries)
-	return []field{
+	return append([]field{
 		{"core_percent", 100 * (s.cpu - first.cpu).Seconds() / per},
 		{"resident_mb", s.resident / float64(s.entries) / 1e6},
 		{"resident_peak_mb", s.peak / float64(s.entries) / 1e6},
 		{"reads_per_s", float64(s.store.Reads-first.store.Reads) / per},
 		{"commits_per_s", float64(s.store.Commits-first.store.Commits) / per},
 		{"writes_per_s", float64(s.store.Writes-first.store.Writes) / per},
-	}
+	}, s.trafficSince(first, per)...)
 }
--- a/cmd/drcapacity/heartbeats.go
+++ b/cmd/drcapacity/heartbeats.go
@@ -21,8 +21,8 @@
 	Duration time.Duration `help:"Time per size." default:"10s"`
 }
 
-// Run measures a full mesh of calls at each size, then the planned form with
-// one stream per pair.
+// Run measures a full mesh of calls at each size, as a comparison, then the
+// streams that pkg/entry uses.
 func (c *heartbeatsCommand) Run(ctx context.Context, out *report) error {
 	c.messageSizes(out)
 	for _, n := range c.Nodes {
@@ -50,8 +50,7 @@
 	return &wire.Heartbeat{Sequence: sequence}
 }
 
-// calls measures the heartbeats of pkg/entry: one call per ordered pair and
-// interval. The same sessions without calls show the cost of session pings.
+// calls measures one call per ordered pair and interval. The same sessions without calls show the cost of session pings.
 func (c *heartbeatsCommand) calls(ctx context.Context, out *report, n int) error {
 	m, err := startMesh(n, c.Services)
 	if err != nil {
--- a/cmd/drcapacity/nodes.go
+++ b/cmd/drcapacity/nodes.go
@@ -27,6 +27,7 @@
 	pool     *peer.Pool
 	server   *peer.Server
 	sequence atomic.Uint64
+	received atomic.Int64
 	holder   config.Holder
 
 	mu      sync.Mutex
--- a/cmd/drcapacity/usage.go
+++ b/cmd/drcapacity/usage.go
@@ -40,6 +40,8 @@
 	cpu          time.Duration
 	resident     float64 // bytes now
 	residentPeak float64 // bytes
+	ioBytes      float64 // read and written, sockets included
+	ioCalls      float64 // read and write system calls
 }
 
 func usageOf(pid int) (usage, error) {
@@ -63,6 +65,12 @@
 	}
 	u.resident = statusBytes(status, "VmRSS:")
 	u.residentPeak = statusBytes(status, "VmHWM:")
+	transfers, err := os.ReadFile(filepath.Join(dir, "io"))
+	if err != nil {
+		return u, errors.Wrap(err, "transfers")
+	}
+	u.ioBytes = numberAfter(transfers, "rchar:") + numberAfter(transfers, "wchar:")
+	u.ioCalls = numberAfter(transfers, "syscr:") + numberAfter(transfers, "syscw:")
 	return u, nil
 }
 
@@ -83,11 +91,17 @@
 }
 
 func statusBytes(status []byte, name string) float64 {
-	for line := range strings.Lines(string(status)) {
-		var kib float64
+	const kib = 1024
+	return kib * numberAfter(status, name)
+}
+
+// numberAfter is the number that follows a name at the start of a line.
+func numberAfter(text []byte, name string) float64 {
+	for line := range strings.Lines(string(text)) {
+		var n float64
 		if rest, ok := strings.CutPrefix(line, name); ok {
-			if _, err := fmt.Sscan(rest, &kib); err == nil {
-				return kib * 1024
+			if _, err := fmt.Sscan(rest, &n); err == nil {
+				return n
 			}
 		}
 	}
--- a/pkg/entry/configsync.go
+++ b/pkg/entry/configsync.go
@@ -55,6 +55,7 @@
 	default:
 	}
 	e.metrics.configVersion.Set(int64(doc.Version))
+	e.heartbeatNow()
 	return nil
 }
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -56,7 +56,8 @@
 
 	membersMu    sync.Mutex
 	members      *membership.Members
-	heartbeatSeq atomic.Uint64
+	heartbeatDue chan struct{} // see heartbeatNow
+	senders      heartbeatSenders
 	peers        *peer.Pool
 	peerServer   *peer.Server
 
@@ -118,9 +119,12 @@
 		unreachable:     map[string]bool{},
 		confirmed:       map[string]bool{},
 		serversChanged:  make(chan struct{}, 1),
+		heartbeatDue:    make(chan struct{}, 1),
 		burn:            burn.New(burn.Config{}),
 		spans:           trace.NewRing(trace.RingConfig{}),
 	}
+	e.senders.entry = e
+	e.senders.byPeer = map[string]*heartbeatSender{}
 	e.store = configstore.New(e.platform, newRequestID)
 	e.limits = newLimits(now, settings.NoPredecessor)
 	e.archiver = trace.NewArchiver(trace.ArchiverConfig{Entry: settings.ID, Objects: e.platform, Logger: e.log})
@@ -143,7 +147,9 @@
 	if err != nil {
 		return err
 	}
-	base := peer.Config{Self: e.self.Entry, Incarnation: e.self.Number, Logger: e.log}
+	traffic := &peer.Traffic{}
+	e.metrics.publish("peer_traffic", func() any { return traffic.Snapshot() })
+	base := peer.Config{Self: e.self.Entry, Incarnation: e.self.Number, Logger: e.log, Traffic: traffic}
 	pool, accept := base, base
 	pool.TLS = client
 	accept.TLS = server
@@ -266,8 +272,6 @@
 // Handle answers the calls of peers.
 func (e *Entry) Handle(ctx context.Context, req *wire.Request) *wire.Response {
 	switch call := req.GetCall().(type) {
-	case *wire.Request_Heartbeat:
-		return e.handleHeartbeat(ctx, call.Heartbeat)
 	case *wire.Request_Forward:
 		return e.handleForward(ctx, call.Forward)
 	case *wire.Request_ConfigFetch:
--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -89,7 +89,7 @@
 // that proves that the peer cannot have handled the request counts as not run.
 func (e *Entry) forwardResult(req *request, o forwardOptions, res *wire.Response, err error) reply {
 	if errors.Is(err, peer.ErrRefused) || errors.Is(err, peer.ErrNotSent) {
-		e.noteFailure(o.entry.ID, err)
+		e.noteContact(o.entry.ID, err)
 		return notRun(reasonPeerUnreachable, "entry instance %s cannot be reached: %v", o.entry.ID, err)
 	}
 	if err != nil {
--- a/pkg/entry/heartbeat.go
+++ b/pkg/entry/heartbeat.go
@@ -2,22 +2,18 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/dandelionrack/dandelionrack/pkg/admission"
-	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/membership"
-	"github.com/dandelionrack/dandelionrack/pkg/peer"
 	"github.com/dandelionrack/dandelionrack/pkg/wire"
 )
 
 const (
 	heartbeatInterval = 200 * time.Millisecond
-	// heartbeatTimeout is shorter than the time after which a silent peer is
-	// suspected, and long enough for the longest round trip.
+	// heartbeatTimeout bounds the opening of a stream. It is shorter than the time
+	// after which a silent peer is suspected, and long enough for the longest round
+	// trip.
 	heartbeatTimeout     = 600 * time.Millisecond
 	instanceListInterval = time.Second
 )
@@ -38,88 +34,78 @@
 func (e *Entry) runHeartbeats(ctx context.Context) {
 	t := time.NewTicker(heartbeatInterval)
 	defer t.Stop()
-	// busy holds the peers whose heartbeat is still unanswered, so that a
-	// silent peer does not collect calls.
-	busy := &sync.Map{}
+	defer e.senders.wg.Wait()
 	for {
-		e.heartbeatRound(ctx, busy)
+		e.heartbeatRound(ctx)
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
+		case <-e.heartbeatDue:
 		}
 	}
 }
 
-func (e *Entry) heartbeatRound(ctx context.Context, busy *sync.Map) {
+// heartbeatNow sends a heartbeat to all peers without waiting for the next
+// interval. It is for rare changes that peers act on, not for free slots, which
+// change with each request.
+func (e *Entry) heartbeatNow() {
+	select {
+	case e.heartbeatDue <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Entry) heartbeatRound(ctx context.Context) {
 	v := e.currentView()
 	if v == nil {
 		return
 	}
-	for _, target := range v.doc.Deployment.EntryInstances {
-		if target.ID == e.settings.ID || e.heardJustNow(target.ID) {
-			continue
+	own := e.ownHeartbeat()
+	for id, target := range v.entries {
+		if id != e.settings.ID {
+			e.senders.offer(ctx, id, outgoing{addr: target.PeerAddr, hb: e.heartbeatTo(own, id)})
 		}
-		if _, running := busy.LoadOrStore(target.ID, true); running {
-			continue
+	}
+	for _, id := range e.senders.known() {
+		if _, configured := v.entries[id]; !configured {
+			e.senders.offer(ctx, id, outgoing{})
 		}
-		go func() {
-			defer busy.Delete(target.ID)
-			e.sendHeartbeat(ctx, target)
-		}()
 	}
 	e.updateLending(v)
 	e.updateLeaving(v)
 }
 
-// heardJustNow reports whether a heartbeat of the peer arrived within the last
-// interval. A call carries the heartbeats of both sides, so one call in either
-// direction is enough for both.
-func (e *Entry) heardJustNow(id string) bool {
-	e.membersMu.Lock()
-	defer e.membersMu.Unlock()
-	st := e.members.Peer(id)
-	return st.State == membership.StateReady && time.Since(st.LastHeard) < heartbeatInterval*3/4
-}
-
-func (e *Entry) sendHeartbeat(ctx context.Context, target config.EntryInstance) {
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-	defer cancel()
-	res, err := e.callPeer(ctx, target.PeerAddr, &wire.Request{Call: &wire.Request_Heartbeat{
-		Heartbeat: e.heartbeat(target.ID),
-	}})
-	if err != nil {
-		e.noteFailure(target.ID, err)
-		return
-	}
-	if hb := res.GetHeartbeat(); hb != nil {
-		e.receiveHeartbeat(ctx, target.ID, hb)
-	}
+// heartbeat is what this entry instance says of itself to one peer.
+func (e *Entry) heartbeat(to string) *wire.Heartbeat {
+	return e.heartbeatTo(e.ownHeartbeat(), to)
 }
 
-// noteFailure records a failed call to a peer. A call that was not tried
-// because a dial failed a moment ago says nothing new.
-func (e *Entry) noteFailure(peerID string, err error) {
-	if errors.Is(err, peer.ErrBackoff) {
-		return
+// heartbeatTo adds what only one peer is told. The fields of own are shared by
+// the heartbeats to all peers and are not changed any more.
+func (e *Entry) heartbeatTo(own *wire.Heartbeat, to string) *wire.Heartbeat {
+	return &wire.Heartbeat{
+		Entry:            own.Entry,
+		Incarnation:      own.Incarnation,
+		State:            own.State,
+		ConfigVersion:    own.ConfigVersion,
+		FreeSlots:        own.FreeSlots,
+		QueueLength:      own.QueueLength,
+		LeavingServers:   own.LeavingServers,
+		PredecessorClean: e.predecessorClean(to),
 	}
-	e.membershipUpdate(func() {
-		e.members.HandleFailure(time.Now(), peerID, errors.Is(err, peer.ErrRefused))
-	})
 }
 
-// heartbeat is what this entry instance says of itself to one peer.
-func (e *Entry) heartbeat(to string) *wire.Heartbeat {
+// ownHeartbeat is what this entry instance says of itself to all peers.
+func (e *Entry) ownHeartbeat() *wire.Heartbeat {
 	hb := &wire.Heartbeat{
-		Entry:            e.settings.ID,
-		Incarnation:      e.self.Number,
-		State:            e.state(),
-		ConfigVersion:    e.configVersion(),
-		Sequence:         e.heartbeatSeq.Add(1),
-		FreeSlots:        map[string]int32{},
-		QueueLength:      map[string]int32{},
-		LeavingServers:   e.ownLeavingServers(),
-		PredecessorClean: e.predecessorClean(to),
+		Entry:          e.settings.ID,
+		Incarnation:    e.self.Number,
+		State:          e.state(),
+		ConfigVersion:  e.configVersion(),
+		FreeSlots:      map[string]int32{},
+		QueueLength:    map[string]int32{},
+		LeavingServers: e.ownLeavingServers(),
 	}
 	v := e.currentView()
 	if v == nil {
@@ -138,8 +124,13 @@
 	return hb
 }
 
-func (e *Entry) receiveHeartbeat(ctx context.Context, from string, hb *wire.Heartbeat) {
+// HandleHeartbeat takes a heartbeat of a peer; first is the first one of a
+// stream.
+func (e *Entry) HandleHeartbeat(ctx context.Context, hb *wire.Heartbeat, first bool) {
+	from := hb.GetEntry()
+	started := false
 	e.membershipUpdate(func() {
+		started = e.members.Peer(from).Incarnation < hb.GetIncarnation()
 		e.members.HandleHeartbeat(time.Now(), from, &membership.Heartbeat{
 			Incarnation:    hb.GetIncarnation(),
 			Sequence:       hb.GetSequence(),
@@ -150,6 +141,13 @@
 			LeavingServers: hb.GetLeavingServers(),
 		})
 	})
+	if started {
+		// A process that starts waits until it has heard of its peers.
+		e.heartbeatNow()
+	}
+	if first {
+		e.senders.check(from)
+	}
 	if hb.GetPredecessorClean() {
 		e.clearHoldOff(from)
 	}
@@ -172,11 +170,6 @@
 	}()
 }
 
-func (e *Entry) handleHeartbeat(ctx context.Context, hb *wire.Heartbeat) *wire.Response {
-	e.receiveHeartbeat(ctx, hb.GetEntry(), hb)
-	return &wire.Response{Reply: &wire.Response_Heartbeat{Heartbeat: e.heartbeat(hb.GetEntry())}}
-}
-
 func stateFromWire(s wire.EntryState) membership.State {
 	switch s {
 	case wire.EntryState_ENTRY_STATE_READY:
--- a/pkg/entry/peers_test.go
+++ b/pkg/entry/peers_test.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -39,10 +40,29 @@
 			Outcome: wire.Outcome_OUTCOME_ANSWERED, Status: http.StatusOK, Body: []byte("of another request"),
 		}}}
 	}
-	return &wire.Response{Reply: &wire.Response_Heartbeat{Heartbeat: &wire.Heartbeat{
-		Entry: "e2", Incarnation: 1, State: wire.EntryState_ENTRY_STATE_READY,
-		Sequence: uint64(time.Now().UnixNano()), FreeSlots: map[string]int32{"narrow": 9},
-	}}}
+	return &wire.Response{Error: "unknown call"}
+}
+
+// reportFreeSlots sends heartbeats of a peer with free slots until the test ends.
+func reportFreeSlots(t *testing.T, addr string) {
+	pool := peer.NewPool(peer.Config{Self: "e2", Incarnation: 1})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	t.Cleanup(func() { cancel(); <-done; pool.Close() })
+	go func() {
+		defer close(done)
+		for sequence := uint64(1); ctx.Err() == nil; {
+			stream, err := pool.OpenHeartbeats(ctx, addr)
+			for ; err == nil && ctx.Err() == nil; sequence++ {
+				err = stream.Send(&wire.Heartbeat{
+					Entry: "e2", Incarnation: 1, State: wire.EntryState_ENTRY_STATE_READY,
+					Sequence: sequence, FreeSlots: map[string]int32{"narrow": 9},
+				})
+				time.Sleep(50 * time.Millisecond)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
 }
 
 // Guards against an answer that reaches the caller of another request.
@@ -55,6 +75,7 @@
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Shutdown(context.Background()) })
 	e, _ := b.start(0, nil)
+	reportFreeSlots(t, b.deployment.EntryInstances[0].PeerAddr)
 	b.configure(1)
 	b.until("a forwarded request", func() bool {
 		r := b.call(0, http.MethodGet, "/v1/call/narrow/x", "", nil)
@@ -81,6 +102,83 @@
 	}
 }
 
+// freezingRelay passes connections on. It can freeze those that are open, as a
+// path does that drops everything of a connection it no longer knows.
+type freezingRelay struct {
+	mu     sync.Mutex
+	frozen chan struct{} // closed when the connections opened so far are frozen
+}
+
+func startFreezingRelay(t *testing.T, addr, target string) *freezingRelay {
+	l, err := net.Listen("tcp", addr)
+	require.NoError(t, err)
+	r := &freezingRelay{frozen: make(chan struct{})}
+	t.Cleanup(func() { _ = l.Close(); r.freeze() })
+	go func() {
+		for {
+			near, err := l.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = near.Close()
+				continue
+			}
+			r.mu.Lock()
+			frozen := r.frozen
+			r.mu.Unlock()
+			go passUntil(frozen, far, near)
+			go passUntil(frozen, near, far)
+		}
+	}()
+	return r
+}
+
+func passUntil(frozen chan struct{}, dst, src net.Conn) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := src.Read(buf)
+		select {
+		case <-frozen:
+			return
+		default:
+		}
+		if err != nil {
+			_ = dst.Close()
+			return
+		}
+		_, _ = dst.Write(buf[:n])
+	}
+}
+
+func (r *freezingRelay) freeze() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.frozen)
+	r.frozen = make(chan struct{})
+}
+
+// Guards against an entry instance that stays silent for its peer while it hears
+// that peer well, because only its own connection is dead. Without the check
+// after a new stream of the peer, its regular pings would take 2 to 3 s.
+func TestDeadConnectionInOneDirection(t *testing.T) {
+	b := newBed(t)
+	target, through := b.deployment.EntryInstances[1].PeerAddr, b.freeAddr()
+	relay := startFreezingRelay(t, through, target)
+	b.start(0, func(s *Settings) { s.AddressMap = map[string]string{target: through} })
+	e2, _ := b.start(1, nil)
+	b.configure(2)
+	for range 2 {
+		b.until("heartbeats of e1", func() bool { return !e2.quiet("e1") })
+		relay.freeze()
+		start := time.Now()
+		b.until("silence", func() bool { return e2.quiet("e1") })
+		b.until("the return of e1", func() bool { return !e2.quiet("e1") })
+		require.Less(t, time.Since(start), 2*time.Second)
+	}
+}
+
 // Guards against an answer of unknown about a key whose owner lives, while the
 // connection to the owner waits to be dialed again.
 func TestOwnerIsAskedAfterBackoff(t *testing.T) {
--- a/pkg/entry/servers.go
+++ b/pkg/entry/servers.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/dandelionrack/dandelionrack/pkg/admission"
@@ -246,6 +248,8 @@
 			out = append(out, id)
 		}
 	}
+	// In order, so that an unchanged list is not sent again.
+	slices.Sort(out)
 	return out
 }
 
@@ -260,10 +264,14 @@
 		}
 	}
 	e.leavingMu.Lock()
+	changed := !maps.Equal(leaving, e.leavingPlatform)
 	e.leavingPlatform = leaving
 	e.platformEntries = entries
 	e.platformListAt = time.Now()
 	e.leavingMu.Unlock()
+	if changed {
+		e.heartbeatNow()
+	}
 	if v := e.currentView(); v != nil {
 		e.updateLeaving(v)
 	}
@@ -327,6 +335,7 @@
 		return
 	}
 	e.log.Info("backend server report changed", "backend_server", server, "draining", draining)
+	e.heartbeatNow()
 	if v := e.currentView(); v != nil {
 		e.updateLeaving(v)
 	}
--- a/pkg/entry/stop.go
+++ b/pkg/entry/stop.go
@@ -28,6 +28,7 @@
 func (e *Entry) stop() {
 	e.log.Info("stopping: out of lookups", "wait", e.settings.LookupTTL.Std())
 	e.leaving.Store(true)
+	e.heartbeatNow()
 	e.announceLeave(false)
 	time.Sleep(e.settings.LookupTTL.Std() + leaveMargin)
 
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -35,22 +35,35 @@
 // input ends early. Memory grows with the bytes that arrive, so a length
 // prefix alone reserves nothing; protodelim would allocate the whole length.
 func readFrame(r io.Reader, m proto.Message) error {
-	src := &earlyEnd{r: r}
-	br := bufio.NewReader(src)
-	size, err := binary.ReadUvarint(br)
+	br := bufio.NewReader(r)
+	if err := readMessage(br, m, MaxMessage); err != nil {
+		return err
+	}
+	return nothingBuffered(br)
+}
+
+// nothingBuffered requires that a call's message was the last one so far.
+func nothingBuffered(br *bufio.Reader) error {
+	if br.Buffered() > 0 {
+		return errors.Wrap(errGarbage, "data after the message")
+	}
+	return nil
+}
+
+// readMessage is readFrame for a stream on which more messages may follow.
+func readMessage(br *bufio.Reader, m proto.Message, limit uint64) error {
+	src := &earlyEnd{r: br}
+	size, err := binary.ReadUvarint(src)
 	if err != nil {
 		return src.classify(err)
 	}
-	if size > MaxMessage {
+	if size > limit {
 		return errors.Wrapf(errGarbage, "length %d", size)
 	}
-	body, err := readBody(br, int(size))
+	body, err := readBody(src, int(size))
 	if err != nil {
 		return src.classify(err)
 	}
-	if br.Buffered() > 0 {
-		return errors.Wrap(errGarbage, "data after the message")
-	}
 	if err := proto.Unmarshal(body, m); err != nil {
 		return errors.Wrap(errGarbage, err.Error())
 	}
@@ -80,10 +93,18 @@
 // earlyEnd keeps the error of its source, which tells input that ended early
 // from malformed input.
 type earlyEnd struct {
-	r   io.Reader
+	r   *bufio.Reader
 	err error
 }
 
+func (e *earlyEnd) ReadByte() (byte, error) {
+	b, err := e.r.ReadByte()
+	if err != nil {
+		e.err = err
+	}
+	return b, err
+}
+
 func (e *earlyEnd) Read(p []byte) (int, error) {
 	n, err := e.r.Read(p)
 	if err != nil {
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -32,6 +33,8 @@
 	cfg Config
 	key sessionKey
 
+	heartbeats atomic.Int64 // open heartbeat streams
+
 	mu       sync.Mutex
 	current  *yamux.Session
 	opened   time.Time
@@ -135,11 +138,58 @@
 	if l.key.lane == control {
 		timeout = l.cfg.ControlTimeout
 	}
-	session, err := yamux.Client(conn, l.cfg.yamux(timeout))
+	conn = &frameConn{Conn: conn, count: l.cfg.Traffic.lane(l.key.lane)}
+	y := l.cfg.yamux(timeout)
+	y.EnableKeepAlive = false
+	session, err := yamux.Client(conn, y)
 	if err != nil {
 		_ = conn.Close()
+		return nil, err
+	}
+	go l.keepAlive(session)
+	return session, nil
+}
+
+// Pings per this many intervals of Config.KeepAlive. The sender of a heartbeat
+// stream has its session checked as soon as it hears nothing from the peer, so
+// regular pings only find a session that died in one direction. A session
+// without calls delays nobody; the first call gets it pinged at each interval.
+const (
+	heartbeatPingEvery = 4
+	idlePingEvery      = 8
+)
+
+// keepAlive closes a frozen session, in place of the pings of yamux, which have
+// one interval for all states of a session.
+func (l *link) keepAlive(session *yamux.Session) {
+	t := time.NewTicker(l.cfg.KeepAlive)
+	defer t.Stop()
+	for skipped := 1; ; skipped++ {
+		select {
+		case <-session.CloseChan():
+			return
+		case <-t.C:
+		}
+		if skipped < l.pingEvery(session) {
+			continue
+		}
+		skipped = 0
+		if _, err := session.Ping(); err != nil {
+			_ = session.Close()
+			return
+		}
+	}
+}
+
+func (l *link) pingEvery(session *yamux.Session) int {
+	switch {
+	case l.heartbeats.Load() > 0:
+		return heartbeatPingEvery
+	case l.key.lane == bulk && session.NumStreams() == 0:
+		return idlePingEvery
+	default:
+		return 1
 	}
-	return session, err
 }
 
 func (l *link) dialConn(ctx context.Context) (net.Conn, error) {
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -51,6 +51,8 @@
 	Incarnation uint64
 	// Handler answers calls; only a Server needs it.
 	Handler Handler
+	// Traffic counts what is sent. It may be shared.
+	Traffic *Traffic
 	// TLS enables TLS: the client configuration for a Pool, the server
 	// configuration for a Server.
 	TLS         *tls.Config
@@ -78,6 +80,9 @@
 	setDefault(&c.RequestTimeout, defaultRequestTimeout)
 	setDefault(&c.MaxStreams, defaultMaxStreams)
 	setDefault(&c.MaxSessionsPerAddr, defaultMaxSessionsPerAddr)
+	if c.Traffic == nil {
+		c.Traffic = &Traffic{}
+	}
 	if c.Logger == nil {
 		c.Logger = hclog.NewNullLogger()
 	}
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -41,7 +41,7 @@
 	return &wire.Request{Call: &wire.Request_Forward{Forward: &wire.Forward{RequestId: id, Body: body}}}
 }
 
-func heartbeat() *wire.Request {
+func heartbeatCall() *wire.Request {
 	return &wire.Request{Call: &wire.Request_Heartbeat{Heartbeat: &wire.Heartbeat{Sequence: 7}}}
 }
 
@@ -78,7 +78,7 @@
 func TestConcurrentCallsGetTheirOwnAnswers(t *testing.T) {
 	_, addr := startServer(t, Config{Handler: handlerFunc(echo)})
 	p := newPool(t, Config{})
-	shared := heartbeat()
+	shared := heartbeatCall()
 	var wg sync.WaitGroup
 	for i := range 100 {
 		wg.Go(func() {
@@ -104,7 +104,7 @@
 	p := newPool(t, Config{})
 	refused := 0
 	for start := time.Now(); time.Since(start) < time.Second; time.Sleep(5 * time.Millisecond) {
-		_, err := p.Call(within(t, time.Second), addr, heartbeat())
+		_, err := p.Call(within(t, time.Second), addr, heartbeatCall())
 		require.ErrorIs(t, err, ErrNotSent)
 		require.NotErrorIs(t, err, ErrLost)
 		if errors.Is(err, ErrRefused) {
@@ -170,7 +170,7 @@
 	_, addr := startServer(t, Config{Handler: handlerFunc(echo)})
 	r := startRelay(t, addr)
 	p := newPool(t, Config{})
-	for _, req := range []*wire.Request{heartbeat(), forward("a", nil)} {
+	for _, req := range []*wire.Request{heartbeatCall(), forward("a", nil)} {
 		_, err := p.Call(within(t, time.Second), r.addr, req)
 		require.NoError(t, err)
 	}
@@ -196,7 +196,7 @@
 	r.cut()
 	r.frozen.Store(false)
 	require.Eventually(t, func() bool {
-		_, err := p.Call(within(t, time.Second), r.addr, heartbeat())
+		_, err := p.Call(within(t, time.Second), r.addr, heartbeatCall())
 		return err == nil
 	}, 2*time.Second, 20*time.Millisecond)
 }
@@ -222,7 +222,7 @@
 	var slowest time.Duration
 	for range 100 {
 		start := time.Now()
-		_, err := p.Call(within(t, time.Second), addr, heartbeat())
+		_, err := p.Call(within(t, time.Second), addr, heartbeatCall())
 		require.NoError(t, err)
 		slowest = max(slowest, time.Since(start))
 		time.Sleep(10 * time.Millisecond)
@@ -239,7 +239,7 @@
 func TestGarbageIsDisconnected(t *testing.T) {
 	s, addr := startServer(t, Config{Handler: handlerFunc(echo)})
 	p := newPool(t, Config{})
-	_, err := p.Call(within(t, time.Second), addr, heartbeat())
+	_, err := p.Call(within(t, time.Second), addr, heartbeatCall())
 	require.NoError(t, err)
 	bad := [][]byte{
 		[]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
@@ -260,7 +260,7 @@
 		require.Eventually(t, func() bool { return s.Stats().Garbage == int64(i+1) },
 			time.Second, time.Millisecond, "input %d is not counted", i)
 	}
-	_, err = p.Call(within(t, time.Second), addr, heartbeat())
+	_, err = p.Call(within(t, time.Second), addr, heartbeatCall())
 	require.NoError(t, err)
 }
 
@@ -379,10 +379,10 @@
 		TLS:     &tls.Config{Certificates: web.TLS.Certificates},
 	})
 	p := newPool(t, Config{TLS: &tls.Config{RootCAs: roots, ServerName: "example.com"}})
-	_, err := p.Call(within(t, 5*time.Second), addr, heartbeat())
+	_, err := p.Call(within(t, 5*time.Second), addr, heartbeatCall())
 	require.NoError(t, err)
 	plain := newPool(t, Config{})
-	_, err = plain.Call(within(t, 5*time.Second), addr, heartbeat())
+	_, err = plain.Call(within(t, 5*time.Second), addr, heartbeatCall())
 	require.Error(t, err)
 	require.EqualValues(t, 1, s.Stats().Garbage)
 }
--- a/pkg/peer/relay_test.go
+++ b/pkg/peer/relay_test.go
@@ -10,10 +10,11 @@
 	"github.com/stretchr/testify/require"
 )
 
-// relay forwards TCP connections and can freeze or cut them.
+// relay forwards TCP connections and can freeze, slow or cut them.
 type relay struct {
 	addr   string
 	frozen atomic.Bool
+	delay  atomic.Int64 // of each 32 KiB of a connection, in nanoseconds
 	mu     sync.Mutex
 	conns  []net.Conn
 }
@@ -61,6 +62,7 @@
 		if err != nil {
 			return
 		}
+		time.Sleep(time.Duration(r.delay.Load()) * time.Duration(n) / time.Duration(len(buf)))
 		if _, err := dst.Write(buf[:n]); err != nil {
 			return
 		}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -24,6 +24,8 @@
 	Garbage          int64 `json:"garbage"`           // sessions closed for malformed input
 	SessionsRefused  int64 `json:"sessions_refused"`  // too many from one address
 	CancelledByPeers int64 `json:"cancelled_by_peer"` // callers that gave up
+	HeartbeatStreams int64 `json:"heartbeat_streams"` // open now
+	HeartbeatGaps    int64 `json:"heartbeat_gaps"`    // streams ended by a message out of sequence
 }
 
 // Server accepts sessions of peers. It is safe for concurrent use.
@@ -31,6 +33,10 @@
 	cfg Config
 
 	calls, rejected, garbage, refused, cancelled atomic.Int64
+	heartbeats, gaps                             atomic.Int64
+
+	streams    context.Context // ends the heartbeat streams
+	endStreams context.CancelFunc
 
 	mu        sync.Mutex
 	draining  bool
@@ -45,12 +51,15 @@
 
 // NewServer returns a server that passes calls to cfg.Handler.
 func NewServer(cfg Config) *Server {
+	streams, endStreams := context.WithCancel(context.Background())
 	return &Server{
-		cfg:       cfg.withDefaults(),
-		idle:      make(chan struct{}),
-		listeners: make(map[net.Listener]struct{}),
-		sessions:  make(map[*serverSession]struct{}),
-		perAddr:   make(map[string]int),
+		cfg:        cfg.withDefaults(),
+		streams:    streams,
+		endStreams: endStreams,
+		idle:       make(chan struct{}),
+		listeners:  make(map[net.Listener]struct{}),
+		sessions:   make(map[*serverSession]struct{}),
+		perAddr:    make(map[string]int),
 	}
 }
 
@@ -66,6 +75,8 @@
 		Garbage:          s.garbage.Load(),
 		SessionsRefused:  s.refused.Load(),
 		CancelledByPeers: s.cancelled.Load(),
+		HeartbeatStreams: s.heartbeats.Load(),
+		HeartbeatGaps:    s.gaps.Load(),
 	}
 }
 
@@ -115,6 +126,7 @@
 		_ = conn.Close()
 		return
 	}
+	conn = &frameConn{Conn: conn, count: &s.cfg.Traffic.accepted}
 	mux, err := yamux.Server(conn, s.serverYamux())
 	if err != nil {
 		s.cfg.Logger.Error("cannot start a peer session", "address", host, "error", err)
@@ -212,6 +224,7 @@
 }
 
 func (s *Server) closeSessions(ctx context.Context) {
+	s.endStreams()
 	s.mu.Lock()
 	open := make([]*serverSession, 0, len(s.sessions))
 	for session := range s.sessions {
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bufio"
 	"context"
 	"crypto/tls"
 	"io"
@@ -11,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/yamux"
 
+	"github.com/dandelionrack/dandelionrack/pkg/heartbeat"
 	"github.com/dandelionrack/dandelionrack/pkg/wire"
 )
 
@@ -85,7 +87,16 @@
 		return
 	}
 	req := &wire.Request{}
-	if err := readFrame(stream, req); err != nil {
+	r := bufio.NewReader(stream)
+	if err := readMessage(r, req, MaxMessage); err != nil {
+		s.requestFailed(err)
+		return
+	}
+	if hb := req.GetHeartbeat(); hb != nil && heartbeat.IsComplete(hb) {
+		s.heartbeats(ctx, stream, r, hb)
+		return
+	}
+	if err := nothingBuffered(r); err != nil {
 		s.requestFailed(err)
 		return
 	}
--- /dev/null
+++ b/pkg/peer/stream.go
@@ -0,0 +1,176 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/yamux"
+
+	"github.com/dandelionrack/dandelionrack/pkg/heartbeat"
+	"github.com/dandelionrack/dandelionrack/pkg/wire"
+)
+
+// maxHeartbeat bounds a message on a heartbeat stream in bytes. The longest
+// part is the list of backend servers that are leaving.
+const maxHeartbeat = 1 << 20
+
+// HeartbeatHandler is a Handler that also takes heartbeat streams. It is called
+// in the order of the messages of each stream; two streams of one peer may
+// overlap while the older one ends.
+type HeartbeatHandler interface {
+	Handler
+	// HandleHeartbeat takes the state of a peer; first is true for the first
+	// message of a stream.
+	HandleHeartbeat(ctx context.Context, hb *wire.Heartbeat, first bool)
+}
+
+// HeartbeatStream sends heartbeats to one peer on a stream of its control
+// session. One direction only: the peer's heartbeats come on a stream that the
+// peer opens. So each side dials by itself, sees refused connections by itself,
+// and no rule is needed for two sides that dial at once. Send is not safe for
+// concurrent use; the other methods are.
+type HeartbeatStream struct {
+	link     *link
+	session  *yamux.Session
+	stream   *yamux.Stream
+	from     Config
+	encoder  heartbeat.Encoder
+	started  bool
+	checking atomic.Bool
+	once     sync.Once
+	done     chan struct{}
+}
+
+// OpenHeartbeats opens a heartbeat stream to the peer at addr, over a new
+// connection if none is open. Errors are those of Call.
+func (p *Pool) OpenHeartbeats(ctx context.Context, addr string) (*HeartbeatStream, error) {
+	l, err := p.link(sessionKey{addr: addr, lane: control})
+	if err != nil {
+		return nil, notSent(addr, err)
+	}
+	session, err := l.session(ctx)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := session.OpenStream()
+	if err != nil {
+		return nil, notSent(addr, errors.Wrap(err, "open stream"))
+	}
+	s := &HeartbeatStream{link: l, session: session, stream: stream, from: p.cfg, done: make(chan struct{})}
+	l.heartbeats.Add(1)
+	go s.awaitEnd()
+	return s, nil
+}
+
+// Send sends the state in hb, which must not be changed afterwards. It may
+// block until the write timeout of the session while the peer is frozen. After
+// an error the stream has ended.
+func (s *HeartbeatStream) Send(hb *wire.Heartbeat) error {
+	frame, err := s.frame(hb)
+	if err == nil {
+		_, err = s.stream.Write(frame)
+	}
+	if err != nil {
+		s.Close()
+		return lost(s.link.key.addr, errors.Wrap(err, "send heartbeat"))
+	}
+	return nil
+}
+
+// frame puts the first message into a Request, by which the peer tells a
+// heartbeat stream from a call.
+func (s *HeartbeatStream) frame(hb *wire.Heartbeat) ([]byte, error) {
+	message := s.encoder.Next(hb)
+	if s.started {
+		return encodeFrame(message)
+	}
+	s.started = true
+	return encodeFrame(&wire.Request{
+		FromEntry:       s.from.Self,
+		FromIncarnation: s.from.Incarnation,
+		Call:            &wire.Request_Heartbeat{Heartbeat: message},
+	})
+}
+
+// Done is closed when the stream has ended: the connection broke, or the peer
+// wants a complete message on a new stream.
+func (s *HeartbeatStream) Done() <-chan struct{} { return s.done }
+
+// Check sends a ping and closes the connection if it stays unanswered, so that
+// the next stream uses a new one. It returns at once and does nothing while an
+// earlier check runs. The caller checks when it hears nothing from the peer.
+func (s *HeartbeatStream) Check() {
+	if !s.checking.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer s.checking.Store(false)
+		if _, err := s.session.Ping(); err != nil {
+			_ = s.session.Close()
+		}
+	}()
+}
+
+// Close ends the stream. The connection stays open.
+func (s *HeartbeatStream) Close() {
+	s.once.Do(func() {
+		s.link.heartbeats.Add(-1)
+		_ = s.stream.SetDeadline(time.Now())
+		// In the background, because it blocks while the peer is frozen.
+		go func() { _ = s.stream.Close() }()
+		close(s.done)
+	})
+}
+
+// awaitEnd waits for the end of the peer's side, on which nothing is sent.
+func (s *HeartbeatStream) awaitEnd() {
+	_, _ = s.stream.Read(make([]byte, 1))
+	s.Close()
+}
+
+// heartbeats takes the messages of a heartbeat stream until it ends. They are
+// not calls: they are taken while the server drains and do not hold up its end.
+func (s *serverSession) heartbeats(ctx context.Context, stream *yamux.Stream, r *bufio.Reader, first *wire.Heartbeat) {
+	handler, ok := s.server.cfg.Handler.(HeartbeatHandler)
+	if !ok {
+		return
+	}
+	_ = stream.SetReadDeadline(time.Time{})
+	stop := context.AfterFunc(s.server.streams, func() { _ = stream.SetReadDeadline(time.Now()) })
+	defer stop()
+	s.server.heartbeats.Add(1)
+	defer s.server.heartbeats.Add(-1)
+	var decoder heartbeat.Decoder
+	for message := first; ; {
+		state, err := decoder.Apply(message)
+		if err != nil {
+			s.streamFailed(err)
+			return
+		}
+		handler.HandleHeartbeat(ctx, state, message == first)
+		message = &wire.Heartbeat{}
+		if err := readMessage(r, message, maxHeartbeat); err != nil {
+			s.streamFailed(err)
+			return
+		}
+	}
+}
+
+// streamFailed ends the session of a peer that sent garbage. A gap or the end
+// of the input ends the stream only.
+func (s *serverSession) streamFailed(err error) {
+	switch {
+	case errors.Is(err, errGarbage) || errors.Is(err, heartbeat.ErrMalformed):
+		s.disconnect(err)
+	case errors.Is(err, heartbeat.ErrGap):
+		s.server.gaps.Add(1)
+		s.server.cfg.Logger.Warn("ended a heartbeat stream", "address", s.host, "error", err)
+	case !errors.Is(err, io.EOF):
+		s.server.cfg.Logger.Debug("heartbeat stream ended", "address", s.host, "error", err)
+	}
+}
--- /dev/null
+++ b/pkg/peer/traffic.go
@@ -0,0 +1,120 @@
+package peer
+
+import (
+	"encoding/binary"
+	"net"
+	"sync/atomic"
+)
+
+// Traffic counts what this process sent to peers on the sessions of a Pool and
+// a Server that share it. What one process sends another one receives, so sent
+// bytes are enough to account for both directions.
+type Traffic struct {
+	control, bulk, accepted laneTraffic
+}
+
+// LaneTraffic counts the yamux frames sent on sessions of one kind. Each frame
+// has a header of 12 bytes.
+type LaneTraffic struct {
+	Bytes   int64 `json:"bytes"` // with headers, without TCP, IP and TLS
+	Data    int64 `json:"data_frames"`
+	Windows int64 `json:"window_frames"` // also opens, ends and resets of streams
+	Pings   int64 `json:"ping_frames"`   // also answers to pings
+}
+
+type laneTraffic struct {
+	bytes, data, windows, pings atomic.Int64
+}
+
+func (l *laneTraffic) snapshot() LaneTraffic {
+	return LaneTraffic{Bytes: l.bytes.Load(), Data: l.data.Load(), Windows: l.windows.Load(), Pings: l.pings.Load()}
+}
+
+// Snapshot returns the counters by kind of session: "control" and "bulk" are
+// dialed by this process, "accepted" were dialed by peers.
+func (t *Traffic) Snapshot() map[string]LaneTraffic {
+	return map[string]LaneTraffic{
+		"control":  t.control.snapshot(),
+		"bulk":     t.bulk.snapshot(),
+		"accepted": t.accepted.snapshot(),
+	}
+}
+
+func (t *Traffic) lane(l lane) *laneTraffic {
+	if l == control {
+		return &t.control
+	}
+	return &t.bulk
+}
+
+// Layout of a yamux frame header: version, type, flags (2 bytes), stream
+// (4 bytes), length (4 bytes, big endian).
+const (
+	frameHeaderSize   = 12
+	frameTypeOffset   = 1
+	frameLengthOffset = 8
+
+	frameData   = 0
+	frameWindow = 1
+	framePing   = 2
+)
+
+// joinLimit is the largest body that is copied behind its header.
+const joinLimit = 4 << 10
+
+// frameConn counts the frames that yamux writes and sends a small frame in one
+// write. yamux writes the header of a frame and its body one after the other,
+// from one goroutine, and each write is a system call and a TCP segment.
+type frameConn struct {
+	net.Conn
+	count  *laneTraffic
+	body   int    // bytes of the current frame that are not written yet
+	joined []byte // header that waits for its body
+}
+
+func (c *frameConn) Write(p []byte) (int, error) {
+	switch {
+	case len(c.joined) > 0:
+		return c.writeJoined(p)
+	case c.body > 0:
+		c.body -= len(p)
+	case len(p) == frameHeaderSize:
+		c.countHeader(p)
+		if c.body > 0 && c.body <= joinLimit {
+			c.joined = append(c.joined, p...)
+			return len(p), nil
+		}
+	}
+	return c.send(p)
+}
+
+// writeJoined is given the whole body, because yamux writes it at once.
+func (c *frameConn) writeJoined(body []byte) (int, error) {
+	c.joined = append(c.joined, body...)
+	n, err := c.send(c.joined)
+	c.joined = c.joined[:0]
+	c.body -= len(body)
+	return max(n-frameHeaderSize, 0), err
+}
+
+func (c *frameConn) send(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.count.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *frameConn) countHeader(header []byte) {
+	switch header[frameTypeOffset] {
+	case frameData:
+		c.body = int(binary.BigEndian.Uint32(header[frameLengthOffset:]))
+		if c.body == 0 {
+			c.count.windows.Add(1)
+			return
+		}
+		c.count.data.Add(1)
+	case frameWindow:
+		c.count.windows.Add(1)
+	case framePing:
+		c.count.pings.Add(1)
+	}
+}
