--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -60,7 +60,8 @@
 
 	membersMu    sync.Mutex
 	members      *membership.Members
-	heartbeatSeq atomic.Uint64
+	heartbeatDue chan struct{} // see heartbeatNow
+	senders      heartbeatSenders
 	peers        *peer.Pool
 	peerServer   *peer.Server
 
@@ -132,9 +133,12 @@
 		replaced:        make(chan struct{}),
 		stopped:         make(chan struct{}),
 		serversChanged:  make(chan struct{}, 1),
+		heartbeatDue:    make(chan struct{}, 1),
 		burn:            burn.New(burn.Config{}),
 		spans:           trace.NewRing(trace.RingConfig{}),
 	}
+	e.senders.entry = e
+	e.senders.byPeer = map[string]*heartbeatSender{}
 	e.store = configstore.New(e.platform, newRequestID)
 	e.blocks = newBlockStore(settings.BlocksBytesPerSecond, blockSeed(settings.ID), storeSource{e.platform}, e.log)
 	e.blocks.peers = e.blockPeers
@@ -165,7 +169,9 @@
 	if err != nil {
 		return err
 	}
-	base := peer.Config{Self: e.self.Entry, Incarnation: e.self.Number, Logger: e.log}
+	traffic := &peer.Traffic{}
+	e.metrics.publish("peer_traffic", func() any { return traffic.Snapshot() })
+	base := peer.Config{Self: e.self.Entry, Incarnation: e.self.Number, Logger: e.log, Traffic: traffic}
 	pool, accept := base, base
 	pool.TLS = client
 	accept.TLS = server
@@ -297,8 +303,6 @@
 // Handle answers the calls of peers.
 func (e *Entry) Handle(ctx context.Context, req *wire.Request) *wire.Response {
 	switch call := req.GetCall().(type) {
-	case *wire.Request_Heartbeat:
-		return e.handleHeartbeat(ctx, call.Heartbeat)
 	case *wire.Request_Forward:
 		return e.handleForward(ctx, req.GetFromEntry(), call.Forward)
 	case *wire.Request_ConfigFetch:
