claim: no data race in TestOutcomeOfDeadOwner

The test changed a variable that the manager's goroutine reads. go test -race ./pkg/claim reported it; with an atomic value it reports nothing (25 s).

--- a/pkg/claim/record_test.go
+++ b/pkg/claim/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,8 +38,9 @@
 // stop, and against a second write for each forwarded request whose owner lives.
 func TestOutcomeOfDeadOwner(t *testing.T) {
 	table := newFakeTable()
-	live := true
-	inBubble(t, table, Config{Live: func(Incarnation) bool { return live }}, func(t *testing.T, m *Manager) {
+	var live atomic.Bool
+	live.Store(true)
+	inBubble(t, table, Config{Live: func(Incarnation) bool { return live.Load() }}, func(t *testing.T, m *Manager) {
 		delivered, kept := callerKey(time.Now()), callerKey(time.Now())
 		m.RecordOutcome(forwardedRun(t, table, delivered))
 		time.Sleep(outcomeHold + time.Second)
@@ -46,7 +48,7 @@
 
 		table.behave(func(context.Context) error { return platform.ErrUnavailable })
 		m.RecordOutcome(forwardedRun(t, table, kept))
-		live = false
+		live.Store(false)
 		time.Sleep(10 * time.Minute)
 		tries := m.Stats().Transactions
 		require.Greater(t, tries, uint64(100))
@@ -62,7 +64,7 @@
 
 		// A stop writes new results at once, whoever lives, and leaves others to
 		// their live owners.
-		live = true
+		live.Store(true)
 		m.RecordOutcome(forwardedRun(t, table, delivered))
 		time.Sleep(ownerWriteTime + time.Millisecond)
 		tries = m.Stats().Transactions
