blocks: status shows an error only while an index is not in force

Cause: after a change back to an earlier index, or to blocks in the document, the status still named the error of the index that is no longer wanted.

--- a/cmd/drcapacity/idle.go
+++ b/cmd/drcapacity/idle.go
@@ -15,6 +15,7 @@
 	// BlockEntries above 1 show an entry instance that fetches from a peer; the
 	// figures are then averages, except those of a restart.
 	BlockEntries int           `help:"Numbers of entry instances of the rows with client blocks." default:"1"`
+	MaxRun       uint32        `help:"Longest run of neighbouring blocks of one site; 1 compresses worst." default:"16"`
 	Servers      []int         `help:"Numbers of backend servers, with one entry instance." default:"1,12,48"`
 	Duration     time.Duration `help:"Time per size." default:"15s"`
 }
@@ -75,7 +76,7 @@
 		return err
 	}
 	defer b.close()
-	p, err := newPublisher(b, c.Bin, n)
+	p, err := newPublisher(b, c.Bin, n, c.MaxRun)
 	if err != nil {
 		return err
 	}
--- a/cmd/drcapacity/publish.go
+++ b/cmd/drcapacity/publish.go
@@ -39,11 +39,11 @@
 	watch *operator.Client
 }
 
-func newPublisher(b *smallBed, bin string, blocks int) (*publisher, error) {
+func newPublisher(b *smallBed, bin string, blocks int, maxRun uint32) (*publisher, error) {
 	entries := b.Deployment().EntryInstances
 	p := &publisher{bed: b, bin: bin, last: entries[len(entries)-1]}
 	// The block of the callers of the bed comes on top.
-	p.list = append(sampleBlocks(blocks, usualRun), b.Deployment().ClientBlocks...)
+	p.list = append(sampleBlocks(blocks, maxRun), b.Deployment().ClientBlocks...)
 	var err error
 	if p.client, err = b.Operator(entries[0].ID); err != nil {
 		return nil, err
--- a/pkg/entry/blockstore.go
+++ b/pkg/entry/blockstore.go
@@ -104,7 +104,7 @@
 	if s.wanted == hash {
 		return
 	}
-	s.wanted = hash
+	s.wanted, s.lastError = hash, ""
 	if s.cancel != nil {
 		s.cancel()
 	}
@@ -362,7 +362,6 @@
 	s.inForce, s.index, s.objects, s.since = hash, x, objects, time.Now()
 	s.pending = map[blocks.Hash][]byte{}
 	s.switches++
-	s.lastError = ""
 	s.table.Store(t)
 	s.log.Info("client blocks in force", "index", hash, "blocks", t.Len(), "chunks", len(x.Chunks))
 }
@@ -372,18 +371,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := operator.BlocksStatus{
-		Source:    operator.BlocksNone,
-		Index:     s.inForce,
-		Chunks:    len(s.index.Chunks),
-		Since:     s.since,
-		Fetched:   s.fetched,
-		Switches:  s.switches,
-		Failures:  s.failures,
-		Served:    s.served,
-		LastError: s.lastError,
+		Source:   operator.BlocksNone,
+		Index:    s.inForce,
+		Chunks:   len(s.index.Chunks),
+		Since:    s.since,
+		Fetched:  s.fetched,
+		Switches: s.switches,
+		Failures: s.failures,
+		Served:   s.served,
 	}
 	if s.wanted != s.inForce {
-		out.Wanted = s.wanted
+		out.Wanted, out.LastError = s.wanted, s.lastError
 	}
 	if t := s.table.Load(); t != nil {
 		out.Blocks = t.Len()
