peer, entry: answer on the peer's stream while none can be opened

Cause: a call carried both heartbeats, so one working direction of dialing was enough for both sides to know each other. With one stream per ordered pair, an entry instance that can be reached but cannot connect to a peer was unknown to it.

The sequence grows over both ways, so membership drops what arrives late.

Also: a heartbeat that membership does not accept, such as one of an unknown entry instance, no longer causes a heartbeat to all peers.

--- a/cmd/drcapacity/streams.go
+++ b/cmd/drcapacity/streams.go
@@ -70,7 +70,7 @@
 			if from == to {
 				continue
 			}
-			stream, err := from.pool.OpenHeartbeats(ctx, to.addr)
+			stream, err := from.pool.OpenHeartbeats(ctx, to.addr, from.receive)
 			if err != nil {
 				return err
 			}
@@ -100,7 +100,7 @@
 }
 
 // HandleHeartbeat takes a heartbeat as pkg/entry does.
-func (nd *node) HandleHeartbeat(_ context.Context, hb *wire.Heartbeat, _ bool) {
+func (nd *node) HandleHeartbeat(_ context.Context, hb *wire.Heartbeat, _ *peer.HeartbeatReply) {
 	nd.received.Add(1)
 	nd.receive(hb)
 }
--- a/pkg/entry/beatsender.go
+++ b/pkg/entry/beatsender.go
@@ -37,13 +37,17 @@
 	peer  string
 	// next holds the newest heartbeat; one that was not sent in time is
 	// replaced, so that a slow peer gets the present state only.
-	next  chan outgoing
-	check chan struct{} // see heartbeatSenders.check
+	next chan outgoing
+	// streams holds the newest stream of the peer, see heartbeatSenders.noteStream.
+	streams chan *peer.HeartbeatReply
 
 	sequence uint64 // grows over all streams to the peer
 	addr     string
 	stream   *peer.HeartbeatStream // nil when none is open
 	opened   time.Time
+	// back leads to the peer while no stream can be opened, as when a cut stops
+	// connections in one direction only. Nil when the peer has no stream here.
+	back *peer.HeartbeatReply
 	// restarted is the time of the last new stream to a quiet peer.
 	restarted time.Time
 }
@@ -74,7 +78,7 @@
 	defer s.mu.Unlock()
 	sender := s.byPeer[id]
 	if sender == nil {
-		sender = &heartbeatSender{entry: s.entry, peer: id, next: make(chan outgoing, 1), check: make(chan struct{}, 1)}
+		sender = &heartbeatSender{entry: s.entry, peer: id, next: make(chan outgoing, 1), streams: make(chan *peer.HeartbeatReply, 1)}
 		s.byPeer[id] = sender
 		s.wg.Go(func() { sender.run(ctx) })
 	}
@@ -88,9 +92,8 @@
 	return slices.Collect(maps.Keys(s.byPeer))
 }
 
-// check has the connection to a peer checked. A peer that starts a stream was
-// started itself, had lost its connection, or hears nothing from here.
-func (s *heartbeatSenders) check(id string) {
+// noteStream takes the way back on a new stream of a peer.
+func (s *heartbeatSenders) noteStream(id string, back *peer.HeartbeatReply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sender := s.byPeer[id]
@@ -98,9 +101,10 @@
 		return
 	}
 	select {
-	case sender.check <- struct{}{}:
+	case <-sender.streams:
 	default:
 	}
+	sender.streams <- back // only added to under the lock
 }
 
 func (s *heartbeatSender) run(ctx context.Context) {
@@ -115,7 +119,9 @@
 			return
 		case out := <-s.next:
 			s.send(ctx, out)
-		case <-s.check:
+		case s.back = <-s.streams:
+			// A peer that starts a stream was started itself, had lost its
+			// connection, or hears nothing from here.
 			if s.stream != nil {
 				s.stream.Check()
 			}
@@ -150,13 +156,17 @@
 		s.addr = out.addr
 	}
 	s.checkQuiet()
-	if s.addr == "" || !s.open(ctx) {
+	if s.addr == "" {
 		return
 	}
+	opened := s.open(ctx)
 	s.sequence++
 	out.hb.Sequence = s.sequence
-	if s.stream.Send(out.hb) != nil {
+	switch {
+	case opened && s.stream.Send(out.hb) != nil:
 		s.closeStream()
+	case !opened && s.back != nil && s.back.Send(out.hb) != nil:
+		s.back = nil
 	}
 }
 
@@ -178,14 +188,25 @@
 	if s.stream != nil {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	limit := heartbeatTimeout
+	if s.back != nil {
+		// The dial goes on by itself, and heartbeats must not wait for it.
+		limit = heartbeatInterval * 3 / 4
+	}
+	openCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	stream, err := s.entry.peers.OpenHeartbeats(ctx, s.entry.settings.reach(s.addr))
+	stream, err := s.entry.peers.OpenHeartbeats(openCtx, s.entry.settings.reach(s.addr), func(hb *wire.Heartbeat) {
+		if hb.GetEntry() == s.peer {
+			s.entry.HandleHeartbeat(ctx, hb, nil)
+		}
+	})
 	s.entry.noteContact(s.peer, err)
 	if err != nil {
 		return false
 	}
 	s.stream, s.opened = stream, time.Now()
+	// Its sequence would fall behind that of the stream.
+	s.back = nil
 	return true
 }
 
--- a/pkg/entry/heartbeat.go
+++ b/pkg/entry/heartbeat.go
@@ -6,6 +6,7 @@
 
 	"github.com/dandelionrack/dandelionrack/pkg/admission"
 	"github.com/dandelionrack/dandelionrack/pkg/membership"
+	"github.com/dandelionrack/dandelionrack/pkg/peer"
 	"github.com/dandelionrack/dandelionrack/pkg/wire"
 )
 
@@ -124,14 +125,14 @@
 	return hb
 }
 
-// HandleHeartbeat takes a heartbeat of a peer; first is the first one of a
-// stream.
-func (e *Entry) HandleHeartbeat(ctx context.Context, hb *wire.Heartbeat, first bool) {
+// HandleHeartbeat takes a heartbeat of a peer, and the way back with the first
+// one of a stream.
+func (e *Entry) HandleHeartbeat(ctx context.Context, hb *wire.Heartbeat, back *peer.HeartbeatReply) {
 	from := hb.GetEntry()
 	started := false
 	e.membershipUpdate(func() {
-		started = e.members.Peer(from).Incarnation < hb.GetIncarnation()
-		e.members.HandleHeartbeat(time.Now(), from, &membership.Heartbeat{
+		before := e.members.Peer(from).Incarnation
+		accepted := e.members.HandleHeartbeat(time.Now(), from, &membership.Heartbeat{
 			Incarnation:    hb.GetIncarnation(),
 			Sequence:       hb.GetSequence(),
 			State:          stateFromWire(hb.GetState()),
@@ -140,13 +141,14 @@
 			QueueLength:    intMap(hb.GetQueueLength()),
 			LeavingServers: hb.GetLeavingServers(),
 		})
+		started = accepted && before < hb.GetIncarnation()
 	})
 	if started {
 		// A process that starts waits until it has heard of its peers.
 		e.heartbeatNow()
 	}
-	if first {
-		e.senders.check(from)
+	if back != nil {
+		e.senders.noteStream(from, back)
 	}
 	if hb.GetPredecessorClean() {
 		e.clearHoldOff(from)
--- a/pkg/peer/stream.go
+++ b/pkg/peer/stream.go
@@ -24,14 +24,33 @@
 // overlap while the older one ends.
 type HeartbeatHandler interface {
 	Handler
-	// HandleHeartbeat takes the state of a peer; first is true for the first
-	// message of a stream.
-	HandleHeartbeat(ctx context.Context, hb *wire.Heartbeat, first bool)
+	// HandleHeartbeat takes the state of a peer. With the first message of a
+	// stream comes the way back to its sender, otherwise nil.
+	HandleHeartbeat(ctx context.Context, hb *wire.Heartbeat, back *HeartbeatReply)
+}
+
+// HeartbeatReply sends heartbeats to the peer that opened a stream, on that
+// stream. It is for a process that cannot dial the peer itself. It is not safe
+// for concurrent use.
+type HeartbeatReply struct {
+	stream  *yamux.Stream
+	encoder heartbeat.Encoder
+}
+
+// Send sends the state in hb, which must not be changed afterwards. After an
+// error the stream has ended.
+func (r *HeartbeatReply) Send(hb *wire.Heartbeat) error {
+	frame, err := encodeFrame(r.encoder.Next(hb))
+	if err != nil {
+		return err
+	}
+	_, err = r.stream.Write(frame)
+	return err
 }
 
 // HeartbeatStream sends heartbeats to one peer on a stream of its control
-// session. One direction only: the peer's heartbeats come on a stream that the
-// peer opens. So each side dials by itself, sees refused connections by itself,
+// session. The peer's heartbeats come on a stream that the peer opens or, while
+// it cannot open one, as replies on this one. So each side dials by itself, sees refused connections by itself,
 // and no rule is needed for two sides that dial at once. Send is not safe for
 // concurrent use; the other methods are.
 type HeartbeatStream struct {
@@ -42,13 +61,15 @@
 	encoder  heartbeat.Encoder
 	started  bool
 	checking atomic.Bool
+	receive  func(hb *wire.Heartbeat)
 	once     sync.Once
 	done     chan struct{}
 }
 
 // OpenHeartbeats opens a heartbeat stream to the peer at addr, over a new
-// connection if none is open. Errors are those of Call.
-func (p *Pool) OpenHeartbeats(ctx context.Context, addr string) (*HeartbeatStream, error) {
+// connection if none is open. It passes replies to receive. Errors are those of
+// Call.
+func (p *Pool) OpenHeartbeats(ctx context.Context, addr string, receive func(hb *wire.Heartbeat)) (*HeartbeatStream, error) {
 	l, err := p.link(sessionKey{addr: addr, lane: control})
 	if err != nil {
 		return nil, notSent(addr, err)
@@ -61,9 +82,9 @@
 	if err != nil {
 		return nil, notSent(addr, errors.Wrap(err, "open stream"))
 	}
-	s := &HeartbeatStream{link: l, session: session, stream: stream, from: p.cfg, done: make(chan struct{})}
+	s := &HeartbeatStream{link: l, session: session, stream: stream, from: p.cfg, receive: receive, done: make(chan struct{})}
 	l.heartbeats.Add(1)
-	go s.awaitEnd()
+	go s.readReplies()
 	return s, nil
 }
 
@@ -127,10 +148,22 @@
 	})
 }
 
-// awaitEnd waits for the end of the peer's side, on which nothing is sent.
-func (s *HeartbeatStream) awaitEnd() {
-	_, _ = s.stream.Read(make([]byte, 1))
-	s.Close()
+// readReplies reads until the peer ends its side.
+func (s *HeartbeatStream) readReplies() {
+	defer s.Close()
+	r := bufio.NewReader(s.stream)
+	var decoder heartbeat.Decoder
+	for {
+		message := &wire.Heartbeat{}
+		if readMessage(r, message, maxHeartbeat) != nil {
+			return
+		}
+		state, err := decoder.Apply(message)
+		if err != nil {
+			return
+		}
+		s.receive(state)
+	}
 }
 
 // heartbeats takes the messages of a heartbeat stream until it ends. They are
@@ -146,13 +179,14 @@
 	s.server.heartbeats.Add(1)
 	defer s.server.heartbeats.Add(-1)
 	var decoder heartbeat.Decoder
-	for message := first; ; {
+	back := &HeartbeatReply{stream: stream}
+	for message := first; ; back = nil {
 		state, err := decoder.Apply(message)
 		if err != nil {
 			s.streamFailed(err)
 			return
 		}
-		handler.HandleHeartbeat(ctx, state, message == first)
+		handler.HandleHeartbeat(ctx, state, back)
 		message = &wire.Heartbeat{}
 		if err := readMessage(r, message, maxHeartbeat); err != nil {
 			s.streamFailed(err)
