--- a/pkg/entry/beatsender.go
+++ b/pkg/entry/beatsender.go
@@ -162,10 +162,16 @@
 	opened := s.open(ctx)
 	s.sequence++
 	out.hb.Sequence = s.sequence
-	switch {
-	case opened && s.stream.Send(out.hb) != nil:
-		s.closeStream()
-	case !opened && s.back != nil && s.back.Send(out.hb) != nil:
+	if opened {
+		if err := s.stream.Send(out.hb); err != nil {
+			s.closeStream()
+		}
+		return
+	}
+	if s.back == nil {
+		return
+	}
+	if err := s.back.Send(out.hb); err != nil {
 		s.back = nil
 	}
 }
