blocks: ask entry instances of other failure domains last

Cause: a replaced entry instance that is alone in its failure domain (four of six domains of the sample) stayed not ready while the store was down, although entry instances elsewhere had the client blocks: only peers of its own domain and the store were asked.

Change: the fetcher asks three tiers, own domain, object store, other domains. A source that failed is not asked again in the same fetch; that now holds for the store too, which cost up to 2 s for each of 110 chunks when it hung.

Ruled out: other domains before the store; their links are limited.

TestFetchAsksOtherDomainsLast holds the order.

entry: the check of an index in steps of its own; one timer loop for gate and warm connections.

--- a/pkg/blocks/fetcher.go
+++ b/pkg/blocks/fetcher.go
@@ -29,6 +29,9 @@
 	Peers []Source
 	// Store is asked for a chunk that no peer gave.
 	Store Source
+	// Others are entry instances of other failure domains. They are asked last,
+	// when the store cannot be read, because their links are limited.
+	Others []Source
 	// BytesPerSecond bounds the bytes received; 0 is no bound.
 	BytesPerSecond int
 	// Seed differs between entry instances, so that several that start at once
@@ -82,9 +85,7 @@
 		}
 	}
 	stats.Kept = len(out)
-	// A peer that failed is not asked again in this Fetch: a dead one would
-	// cost a timeout per chunk.
-	failed := make([]bool, len(f.cfg.Peers))
+	tiers := f.tiers()
 	for _, ref := range x.Chunks {
 		if _, ok := out[ref.Hash]; ok {
 			continue
@@ -93,7 +94,7 @@
 			_, err := Open(ref, packed)
 			return err
 		}
-		packed, err := f.object(ctx, ref.Hash, check, failed, &stats)
+		packed, err := f.object(ctx, ref.Hash, check, tiers, &stats)
 		if err != nil {
 			return out, stats, errors.Wrapf(err, "fetch chunk of %s", ref.Range)
 		}
@@ -111,55 +112,91 @@
 	packed, err := f.object(ctx, hash, func(packed []byte) (err error) {
 		x, err = OpenIndex(packed, hash)
 		return err
-	}, make([]bool, len(f.cfg.Peers)), &stats)
+	}, f.tiers(), &stats)
 	if err != nil {
 		return Index{}, nil, stats, errors.Wrapf(err, "fetch index %s", hash)
 	}
 	return x, packed, stats, nil
 }
 
-// SetPeers replaces the peers. The byte rate goes on.
-func (f *Fetcher) SetPeers(peers []Source) { f.cfg.Peers = peers }
+// SetPeers replaces the peers and the others. The byte rate goes on.
+func (f *Fetcher) SetPeers(peers, others []Source) { f.cfg.Peers, f.cfg.Others = peers, others }
 
 // checkFunc refuses an object that is not the one asked for.
 type checkFunc func(packed []byte) error
 
-func (f *Fetcher) object(ctx context.Context, hash Hash, check checkFunc, failed []bool, stats *FetchStats) ([]byte, error) {
-	peers := len(f.cfg.Peers)
-	tries := f.cfg.PeerTries
-	for i := range peers {
-		n := (f.start(hash) + i) % peers
-		if failed[n] {
-			continue
+// tier is a group of sources of one kind. A source that failed is not asked
+// again in the same Fetch: a dead one would cost a timeout per chunk.
+type tier struct {
+	name    string
+	sources []Source
+	failed  []bool
+	tries   int // sources asked for one object
+	count   func(*FetchStats)
+}
+
+// tiers returns the sources in the order in which they are asked.
+func (f *Fetcher) tiers() []*tier {
+	peer := func(s *FetchStats) { s.FromPeers++ }
+	store := func(s *FetchStats) { s.FromStore++ }
+	out := []*tier{{name: "peers", sources: f.cfg.Peers, tries: f.cfg.PeerTries, count: peer}}
+	if f.cfg.Store != nil {
+		out = append(out, &tier{name: "object store", sources: []Source{f.cfg.Store}, tries: 1, count: store})
+	}
+	out = append(out, &tier{name: "other failure domains", sources: f.cfg.Others, tries: f.cfg.PeerTries, count: peer})
+	for _, t := range out {
+		t.failed = make([]bool, len(t.sources))
+	}
+	return out
+}
+
+func (f *Fetcher) object(ctx context.Context, hash Hash, check checkFunc, tiers []*tier, stats *FetchStats) ([]byte, error) {
+	err := ErrNotFound
+	for _, t := range tiers {
+		packed, tierErr := f.ask(ctx, t, hash, check, stats)
+		if tierErr == nil {
+			return packed, nil
+		}
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
 		}
-		if tries == 0 {
-			break
+		// The reason of the store says more than that others lack the object.
+		if !errors.Is(tierErr, ErrNotFound) {
+			err = errors.Wrap(tierErr, t.name)
+		}
+	}
+	return nil, err
+}
+
+// ask asks some sources of a tier.
+func (f *Fetcher) ask(ctx context.Context, t *tier, hash Hash, check checkFunc, stats *FetchStats) ([]byte, error) {
+	err := ErrNotFound
+	tries := t.tries
+	for i := range t.sources {
+		n := (f.start(hash, len(t.sources)) + i) % len(t.sources)
+		if t.failed[n] || tries == 0 {
+			continue
 		}
 		tries--
-		packed, err := f.try(ctx, f.cfg.Peers[n], hash, check, stats)
-		if err == nil {
-			stats.FromPeers++
+		packed, tryErr := f.try(ctx, t.sources[n], hash, check, stats)
+		if tryErr == nil {
+			t.count(stats)
 			return packed, nil
 		}
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
-		failed[n] = !errors.Is(err, ErrNotFound)
-	}
-	if f.cfg.Store == nil {
-		return nil, ErrNotFound
-	}
-	packed, err := f.try(ctx, f.cfg.Store, hash, check, stats)
-	if err != nil {
-		return nil, errors.Wrap(err, "object store")
+		if !errors.Is(tryErr, ErrNotFound) {
+			t.failed[n] = true
+			err = tryErr
+		}
 	}
-	stats.FromStore++
-	return packed, nil
+	return nil, err
 }
 
-// start spreads chunks over peers.
-func (f *Fetcher) start(h Hash) int {
-	return int((binary.BigEndian.Uint64(h[:]) + f.cfg.Seed) % uint64(len(f.cfg.Peers)))
+// start spreads objects over the sources of a tier.
+func (f *Fetcher) start(h Hash, sources int) int {
+	return int((binary.BigEndian.Uint64(h[:]) + f.cfg.Seed) % uint64(sources))
 }
 
 func (f *Fetcher) try(ctx context.Context, from Source, hash Hash, check checkFunc, stats *FetchStats) ([]byte, error) {
--- a/pkg/blocks/fetcher_test.go
+++ b/pkg/blocks/fetcher_test.go
@@ -96,6 +96,28 @@
 	})
 }
 
+// Guards against an entry instance that is alone in its failure domain and gets
+// no table while the store is down, and against use of the links between failure
+// domains while the store works.
+func TestFetchAsksOtherDomainsLast(t *testing.T) {
+	x, all := table(t, 60_000)
+	down, up := &source{err: errors.New("connection refused")}, &source{chunks: all}
+	other := &source{chunks: all}
+	f := NewFetcher(FetcherConfig{Store: down, Others: []Source{other}})
+	got, stats, err := f.Fetch(t.Context(), x, nil)
+	require.NoError(t, err)
+	require.Equal(t, all, got)
+	require.Equal(t, len(x.Chunks), stats.FromPeers)
+	require.Equal(t, 1, down.asked)
+
+	other.asked = 0
+	f = NewFetcher(FetcherConfig{Store: up, Others: []Source{other}})
+	_, stats, err = f.Fetch(t.Context(), x, nil)
+	require.NoError(t, err)
+	require.Equal(t, len(x.Chunks), stats.FromStore)
+	require.Zero(t, other.asked)
+}
+
 // Guards against a restart that exceeds the byte budget of a node.
 func TestFetchKeepsTheByteRate(t *testing.T) {
 	const perSecond = 8 << 10
--- a/pkg/entry/blockcheck.go
+++ b/pkg/entry/blockcheck.go
@@ -123,51 +123,84 @@
 	if err != nil {
 		return nil // empty, or a finding of the validation of the document
 	}
-	var list findings.List
-	source := pacedSource{storeSource{e.platform}, e.blockReads}
-	packed, err := source.Chunk(ctx, hash)
-	if err != nil {
-		return objectError(&list, "index "+text, err)
+	check := &indexCheck{
+		source:  pacedSource{storeSource{e.platform}, e.blockReads},
+		trusted: e.checkedBefore(dep),
+		objects: map[blocks.Hash][]byte{},
 	}
-	x, err := blocks.OpenIndex(packed, hash)
+	check.targets = targetCheck{known: targetsOf(dep), list: &check.list}
+	x, err := check.index(ctx, hash)
 	if err != nil {
-		list.Add(blocksIndexPath, "index %s is damaged: %v", text, err)
-		return list.Err()
+		return err
 	}
-	objects := map[blocks.Hash][]byte{hash: packed}
-	check := targetCheck{known: targetsOf(dep), list: &list}
-	trusted := e.checkedBefore(dep)
 	for refs := range slices.Chunk(x.Chunks, blockReads) {
-		read, problems := readChunks(ctx, source, refs)
-		for i, ref := range refs {
-			name := "chunk " + ref.Hash.String() + " of " + ref.Range.String()
-			if err := problems[i]; err != nil {
-				if err := objectError(&list, name, err); errors.Is(err, platform.ErrUnavailable) {
-					return err
-				}
-				continue
-			}
-			if trusted(ref, read[i]) {
-				objects[ref.Hash] = read[i]
-				continue
-			}
-			in, err := blocks.Open(ref, read[i])
-			if err != nil {
-				list.Add(blocksIndexPath, "%s is damaged: %v", name, err)
-				continue
-			}
-			check.blocks(in)
-			objects[ref.Hash] = read[i]
+		if err := check.chunks(ctx, refs); err != nil {
+			return err
 		}
 	}
-	check.end()
-	if err := list.Err(); err != nil {
+	check.targets.end()
+	if err := check.list.Err(); err != nil {
 		return err
 	}
-	e.blocks.offer(objects)
+	e.blocks.offer(check.objects)
+	return nil
+}
+
+// indexCheck collects what is wrong with an index and its chunks.
+type indexCheck struct {
+	source  blocks.Source
+	targets targetCheck
+	// trusted reports whether a chunk was checked before.
+	trusted func(ref blocks.Ref, packed []byte) bool
+	objects map[blocks.Hash][]byte // read and valid
+	list    findings.List
+}
+
+// index reads the index itself; without it there is nothing else to check.
+func (c *indexCheck) index(ctx context.Context, hash blocks.Hash) (blocks.Index, error) {
+	name := "index " + hash.String()
+	packed, err := c.source.Chunk(ctx, hash)
+	if err != nil {
+		return blocks.Index{}, objectError(&c.list, name, err)
+	}
+	x, err := blocks.OpenIndex(packed, hash)
+	if err != nil {
+		c.list.Add(blocksIndexPath, "%s is damaged: %v", name, err)
+		return x, c.list.Err()
+	}
+	c.objects[hash] = packed
+	return x, nil
+}
+
+// chunks reads some chunks at the same time. An error means that the object
+// store could not be read; what is wrong with a chunk is a finding.
+func (c *indexCheck) chunks(ctx context.Context, refs []blocks.Ref) error {
+	read, problems := readChunks(ctx, c.source, refs)
+	for i, ref := range refs {
+		name := "chunk " + ref.Hash.String() + " of " + ref.Range.String()
+		if err := problems[i]; err != nil {
+			if err := objectError(&c.list, name, err); errors.Is(err, platform.ErrUnavailable) {
+				return err
+			}
+			continue
+		}
+		c.chunk(name, ref, read[i])
+	}
 	return nil
 }
 
+func (c *indexCheck) chunk(name string, ref blocks.Ref, packed []byte) {
+	if !c.trusted(ref, packed) {
+		in, err := blocks.Open(ref, packed)
+		if err != nil {
+			c.list.Add(blocksIndexPath, "%s is damaged: %v", name, err)
+			return
+		}
+		c.targets.blocks(in)
+	}
+	c.objects[ref.Hash] = packed
+}
+
 // checkedBefore returns a function that reports whether a chunk is part of the
 // index in force, has the content that is here, and needs no second check. To
 // decode the 110 chunks of 360,000 blocks for each change of one block costs
--- a/pkg/entry/blockstore.go
+++ b/pkg/entry/blockstore.go
@@ -46,9 +46,10 @@
 type blockStore struct {
 	log     hclog.Logger
 	fetcher *blocks.Fetcher // used by run only
-	peers   func() []blocks.Source
-	table   atomic.Pointer[lookup.Table]
-	wake    chan struct{}
+	// peers returns the entry instances of this failure domain and the others.
+	peers func() (same, others []blocks.Source)
+	table atomic.Pointer[lookup.Table]
+	wake  chan struct{}
 
 	mu     sync.Mutex
 	wanted string // index of the configuration; "" when the document holds the blocks
@@ -73,7 +74,7 @@
 	return &blockStore{
 		log:     log,
 		fetcher: blocks.NewFetcher(blocks.FetcherConfig{Store: store, BytesPerSecond: bytesPerSecond, Seed: seed}),
-		peers:   func() []blocks.Source { return nil },
+		peers:   func() (same, others []blocks.Source) { return nil, nil },
 		wake:    make(chan struct{}, 1),
 		pending: map[blocks.Hash][]byte{},
 	}
@@ -426,19 +427,24 @@
 	return packed, nil
 }
 
-// blockPeers are the other entry instances of this failure domain.
-func (e *Entry) blockPeers() []blocks.Source {
+// blockPeers are the other entry instances, those of this failure domain apart.
+func (e *Entry) blockPeers() (same, others []blocks.Source) {
 	v := e.currentView()
 	if v == nil {
-		return nil
+		return nil, nil
 	}
-	var out []blocks.Source
-	for _, id := range v.seats[e.settings.FailureDomain] {
-		if id != e.settings.ID {
-			out = append(out, peerSource{entry: e, addr: v.entries[id].PeerAddr})
+	for id, in := range v.entries {
+		if id == e.settings.ID {
+			continue
+		}
+		source := peerSource{entry: e, addr: in.PeerAddr}
+		if in.FailureDomain == e.settings.FailureDomain {
+			same = append(same, source)
+		} else {
+			others = append(others, source)
 		}
 	}
-	return out
+	return same, others
 }
 
 func (e *Entry) handleBlockFetch(f *wire.BlockFetch) *wire.Response {
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -253,16 +253,4 @@
 	look(g.ctl, time.Now())
 }
 
-func (g *gate) run(ctx context.Context) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-g.wake:
-		case <-timer.C:
-		}
-		timer.Reset(g.tick())
-	}
-}
+func (g *gate) run(ctx context.Context) { repeat(ctx, g.wake, g.tick) }
--- a/pkg/entry/warm.go
+++ b/pkg/entry/warm.go
@@ -14,19 +14,27 @@
 // runWarm keeps as many connections open to each backend server as this seat
 // has slots there, because a new connection takes about 1 ms of a request.
 func (e *Entry) runWarm(ctx context.Context) {
+	repeat(ctx, e.serversChanged, func() time.Duration {
+		if v := e.currentView(); v != nil {
+			e.warmServers(ctx, v)
+		}
+		return warmInterval
+	})
+}
+
+// repeat calls step at once, and again after the time that it returned or when
+// wake has a value, until ctx ends.
+func repeat(ctx context.Context, wake <-chan struct{}, step func() time.Duration) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-wake:
 		case <-timer.C:
-		case <-e.serversChanged:
-		}
-		if v := e.currentView(); v != nil {
-			e.warmServers(ctx, v)
 		}
-		timer.Reset(warmInterval)
+		timer.Reset(step())
 	}
 }
 
