entry: TestIndexNeedsItsObjects takes the chunk from all peers

The test damages a chunk in the object store and wants a second entry instance to stay not ready.

Change: the first instance loses its objects before, so that no source has the chunk. The checks are unchanged, and the test covers one source more.

--- a/pkg/entry/blockstore_test.go
+++ b/pkg/entry/blockstore_test.go
@@ -206,7 +206,7 @@
 // and against a new entry instance that answers before its table is complete.
 func TestIndexNeedsItsObjects(t *testing.T) {
 	b := newBed(t)
-	b.start(0, nil)
+	e1, _ := b.start(0, nil)
 	b.configure(1)
 	store := platform.NewClient(platform.ClientConfig{BaseURL: b.platform.URL()})
 	c := b.operator()
@@ -245,6 +245,10 @@
 
 	require.NoError(t, store.PutObject(t.Context(), blockObject(chunk), []byte("damaged")))
 	require.Contains(t, b.setIndex(p.hash), "is damaged", "a chunk in force is read again too")
+	// No entry instance of another failure domain has the chunk either.
+	e1.blocks.mu.Lock()
+	e1.blocks.objects = nil
+	e1.blocks.mu.Unlock()
 	e2, _ := b.start(1, nil)
 	b.until("a failed fetch", func() bool { return e2.blocks.status().Failures > 0 })
 	require.Equal(t, http.StatusServiceUnavailable, b.call(1, http.MethodGet, "/v1/ready", "", nil).status)
