--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -65,6 +65,7 @@
 	document      atomic.Pointer[fleet.Document]
 	serversKnown  atomic.Bool
 	leaving       atomic.Bool
+	following     atomic.Bool // follows the store for its region
 	changed       chan struct{}
 }
 
--- a/pkg/ingress/peers.go
+++ b/pkg/ingress/peers.go
@@ -80,7 +80,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	known := map[string]bool{}
-	for _, m := range g.roster.Peers(now) {
+	for _, m := range g.roster.Links(now) {
 		known[m.ID] = true
 		if l := g.links[m.ID]; l != nil {
 			if l.member.PeerAddr == m.PeerAddr {
@@ -151,11 +151,14 @@
 		g.takeSync(time.Now(), reply)
 		return true
 	}
-	if errors.Is(err, peer.ErrRefused) {
-		g.mu.Lock()
+	refused := errors.Is(err, peer.ErrRefused)
+	g.mu.Lock()
+	g.roster.Asked(time.Now(), l.member.ID)
+	if refused {
 		g.roster.Refused(l.member.ID)
-		g.mu.Unlock()
-	} else if callCtx.Err() != nil && ctx.Err() == nil {
+	}
+	g.mu.Unlock()
+	if !refused && callCtx.Err() != nil && ctx.Err() == nil {
 		g.peers.Forget(addr) // the connection may have gone silent for good
 	}
 	g.log.limited("peer", hclog.Debug, "peer does not answer", "peer", l.member.ID, "error", err)
@@ -199,6 +202,7 @@
 	status := g.statusLocked(now)
 	out := &wire.ReplicaSync{Member: encodeMember(g.self), Introduce: introduce}
 	out.Member.State = wireStates[status.State]
+	out.Member.Following = status.Following
 	out.Member.StoreAgeMs = status.StoreAge.Milliseconds()
 	if status.StoreAge < 0 {
 		out.Member.StoreAgeMs = -1
@@ -233,7 +237,7 @@
 // takeSync takes in a peer's message.
 func (g *Ingress) takeSync(now time.Time, in *wire.ReplicaSync) {
 	from := decodeMember(in.GetMember())
-	status := roster.Status{StoreAge: time.Duration(in.GetMember().GetStoreAgeMs()) * time.Millisecond}
+	status := roster.Status{StoreAge: time.Duration(in.GetMember().GetStoreAgeMs()) * time.Millisecond, Following: in.GetMember().GetFollowing()}
 	for state, w := range wireStates {
 		if w == in.GetMember().GetState() {
 			status.State = state
@@ -274,7 +278,7 @@
 func (g *Ingress) updateStatusLocked(now time.Time) { g.roster.SetSelf(g.statusLocked(now)) }
 
 func (g *Ingress) statusLocked(now time.Time) roster.Status {
-	s := roster.Status{State: roster.NotReady, StoreAge: g.storeAge(now)}
+	s := roster.Status{State: roster.NotReady, StoreAge: g.storeAge(now), Following: g.following.Load()}
 	switch {
 	case g.leaving.Load():
 		s.State = roster.Leaving
--- a/pkg/ingress/sync.go
+++ b/pkg/ingress/sync.go
@@ -86,7 +86,11 @@
 func (g *Ingress) follows(table replica.TableName) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.tables[table].Known() || g.roster.FollowsStore(time.Now())
+	following := g.roster.FollowsStore(time.Now())
+	if g.following.Swap(following) != following {
+		g.log.line(hclog.Info, "following of the store changed", "following", following)
+	}
+	return !g.tables[table].Known() || following
 }
 
 func (g *Ingress) readTable(ctx context.Context, table replica.TableName, snapshot bool) (replica.Batch, error) {
@@ -119,8 +123,13 @@
 	becameKnown := t.Known() && !wasKnown
 	g.mu.Unlock()
 	g.logEvents(events, source)
-	if len(rows) > 0 || becameKnown {
-		g.refresh(now)
+	if len(rows) == 0 && !becameKnown {
+		return
+	}
+	g.refresh(now)
+	// Only a follower passes changes on at once. All others exchange them
+	// with their next heartbeats, which covers a follower that is cut off.
+	if g.following.Load() {
 		g.pushNow()
 	}
 }
--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -8,10 +8,15 @@
 )
 
 const (
-	// queuePerSlot bounds the requests at a server, running and waiting, for
-	// requests that are expected to miss their objective: 2 per slot. Trials
-	// with a fixed bound from 1.0 to 3.4 were best at 2.1 (issue 7).
-	queuePerSlot = 2.1
+	// latePerSlot bounds the requests at a server for requests that are
+	// expected to miss their objective: they get free slots only.
+	latePerSlot = 1.0
+	// fullPerSlot is the load per slot that is assumed of a server that has
+	// just shed a request.
+	fullPerSlot = 2.1
+	// maxCopies bounds the servers of a group of regions that are considered
+	// for an object. Servers keep 23 to 47 objects, about twice their share.
+	maxCopies = 2
 	// OthersLife is how long a load report says something about the requests
 	// of other entry instances. A warm answer takes 70 to 660 ms on the
 	// sites, so after 2 s these requests have ended.
@@ -86,8 +91,9 @@
 	region    string
 	servers   map[string]*server
 	byService map[string][]*server
-	orders    map[string][]*server // by service and object
-	works     map[string]*work     // by class
+	orders    map[string]ranking // by service and object
+	spreads   map[string]*spread // by service
+	works     map[string]*work   // by class
 	connects  map[string]time.Duration
 	epoch     uint64
 }
@@ -96,7 +102,7 @@
 func New(region string) *Balancer {
 	return &Balancer{
 		region: region, servers: map[string]*server{}, byService: map[string][]*server{},
-		orders: map[string][]*server{}, works: map[string]*work{}, connects: map[string]time.Duration{},
+		orders: map[string]ranking{}, spreads: map[string]*spread{}, works: map[string]*work{}, connects: map[string]time.Duration{},
 	}
 }
 
@@ -123,8 +129,12 @@
 	b.servers = next
 }
 
-// order returns the servers of a service in the order for an object.
-func (b *Balancer) order(service, object string) []*server {
+// ranking is the order of the servers of a service for an object, those of the
+// own region apart.
+type ranking struct{ near, far []*server }
+
+// order returns the ranking for an object.
+func (b *Balancer) order(service, object string) ranking {
 	key := service + "\x00" + object
 	if o, ok := b.orders[key]; ok {
 		return o
@@ -137,24 +147,19 @@
 	for _, s := range b.byService[service] {
 		all = append(all, ranked{s, score(service, object, s.ID)})
 	}
-	slices.SortFunc(all, func(x, y ranked) int {
-		return cmp.Or(cmp.Compare(b.tier(x.s), b.tier(y.s)), cmp.Compare(y.score, x.score))
-	})
-	out := make([]*server, len(all))
-	for i, r := range all {
-		out[i] = r.s
+	slices.SortFunc(all, func(x, y ranked) int { return cmp.Compare(y.score, x.score) })
+	var out ranking
+	for _, r := range all {
+		if r.s.Region == b.region {
+			out.near = append(out.near, r.s)
+		} else {
+			out.far = append(out.far, r.s)
+		}
 	}
 	b.orders[key] = out
 	return out
 }
 
-func (b *Balancer) tier(s *server) int {
-	if s.Region == b.region {
-		return 0
-	}
-	return 1
-}
-
 // score ranks a server for an object; the highest is first.
 func score(service, object, id string) uint64 {
 	h := fnv.New64a()
@@ -180,45 +185,99 @@
 // Choose returns the server that gets the request, and counts it there until
 // Done.
 func (b *Balancer) Choose(now time.Time, r Request) (Choice, *Refusal) {
-	refusal := Refusal{Reason: ReasonNoServer}
-	w := b.workOf(r)
-	var best *estimate
-	bestAny := time.Duration(-1) // earliest completion, queue full or not
-	for rank, s := range b.order(r.Service, r.Object) {
-		if len(r.AllowedRegions) > 0 && !slices.Contains(r.AllowedRegions, s.Region) {
-			continue
+	x := &search{b: b, now: now, r: r, work: b.workOf(r)}
+	order := b.order(r.Service, r.Object)
+	spread := b.spreadOf(now, r.Service)
+	spread.request()
+	first, second := order.near, order.far
+	if spread.isFar(r.Service, r.Object) {
+		first, second = second, first
+	}
+	x.visit(first, true)
+	if x.fits == nil && (spread.spill >= 1 || x.open == 0) {
+		// Nothing in the regions of the object can take the request in time.
+		before := x.late
+		x.visit(second, false)
+		if (x.fits != nil || x.late != before) && x.openBefore > 0 {
+			spread.takeSpill()
 		}
-		refusal.Considered++
-		if slices.Contains(r.Exclude, s.ID) || !s.open(now) {
-			refusal.Excluded++
+	}
+	switch {
+	case x.fits != nil:
+		return b.take(now, r, *x.fits, false), nil
+	case x.late != nil:
+		return b.take(now, r, *x.late, true), nil
+	default:
+		return Choice{}, x.refusal()
+	}
+}
+
+// search looks for a server for one request.
+type search struct {
+	b    *Balancer
+	now  time.Time
+	r    Request
+	work *work
+
+	fits *estimate // the first that meets the objective
+	late *estimate // the earliest of the others that may be used
+	// soonest is the earliest completion anywhere, allowed or not.
+	soonest                time.Duration
+	considered, excluded   int
+	open, openBefore, full int
+}
+
+// visit looks at the servers of one group in order. Only the first few that are
+// open count: an object that is at many servers pushes others out of their
+// caches. home says that the object is placed in this group.
+func (x *search) visit(group []*server, home bool) {
+	x.openBefore = x.open
+	copies := 0
+	for rank, s := range group {
+		if len(x.r.AllowedRegions) > 0 && !slices.Contains(x.r.AllowedRegions, s.Region) {
 			continue
 		}
-		e := b.estimate(now, s, r, w, rank)
-		if bestAny < 0 || e.expected < bestAny {
-			bestAny = e.expected
+		x.considered++
+		if slices.Contains(x.r.Exclude, s.ID) || !s.open(x.now) {
+			x.excluded++
+			continue
 		}
-		if e.expected <= r.UntilObjective && !s.probing {
-			return b.take(now, r, e, false), nil
+		x.open++
+		e := x.b.estimate(x.now, s, x.r, x.work, home && rank == 0)
+		if x.soonest == 0 || e.expected < x.soonest {
+			x.soonest = e.expected
 		}
-		if float64(e.inFlight) >= queuePerSlot*float64(s.Slots) {
-			continue
+		if e.expected <= x.r.UntilObjective {
+			x.fits = &e
+			return
 		}
-		if best == nil || e.expected < best.expected {
-			best = &e
+		x.noteLate(e)
+		if copies++; copies >= maxCopies {
+			return
 		}
 	}
-	if best != nil && best.expected <= r.UntilDeadline {
-		return b.take(now, r, *best, best.expected > r.UntilObjective), nil
+}
+
+// noteLate remembers a server that cannot meet the objective but has a free
+// slot: its answer earns less, and its work makes the server warm. A request
+// that would wait there only makes later ones late as well.
+func (x *search) noteLate(e estimate) {
+	if float64(e.inFlight) >= latePerSlot*float64(e.s.Slots) || e.expected > x.r.UntilDeadline {
+		x.full++
+		return
 	}
-	if best != nil {
-		refusal.Reason = ReasonDeadline
-	} else if refusal.Considered > refusal.Excluded {
-		refusal.Reason = ReasonOverload
+	if x.late == nil || e.expected < x.late.expected {
+		x.late = &e
 	}
-	if bestAny > 0 {
-		refusal.RetryAfter = max(0, bestAny-r.UntilObjective)
+}
+
+func (x *search) refusal() *Refusal {
+	f := &Refusal{Reason: ReasonNoServer, Considered: x.considered, Excluded: x.excluded}
+	if x.open > 0 {
+		f.Reason = ReasonOverload
+		f.RetryAfter = max(0, x.soonest-x.r.UntilObjective)
 	}
-	return Choice{}, &refusal
+	return f
 }
 
 func (b *Balancer) take(now time.Time, r Request, e estimate, late bool) Choice {
@@ -251,8 +310,8 @@
 	return len(s.coldSends) < s.ColdQuota
 }
 
-func (b *Balancer) estimate(now time.Time, s *server, r Request, w *work, rank int) estimate {
-	e := estimate{s: s, inFlight: s.load(now), warm: b.isWarm(now, s, r.Object, rank)}
+func (b *Balancer) estimate(now time.Time, s *server, r Request, w *work, first bool) estimate {
+	e := estimate{s: s, inFlight: s.load(now), warm: b.isWarm(now, s, r.Object, first)}
 	need := w.cold
 	if e.warm {
 		need = w.warm
@@ -272,12 +331,12 @@
 // isWarm reports whether a server is expected to know an object: it got a
 // request for it recently, or it is the first in order, which gets the requests
 // of the other entry instances too.
-func (b *Balancer) isWarm(now time.Time, s *server, object string, rank int) bool {
+func (b *Balancer) isWarm(now time.Time, s *server, object string, first bool) bool {
 	if object == "" {
 		return true
 	}
 	at, ok := s.warm[object]
-	return ok && now.Sub(at) < warmLife || !ok && rank == 0 && !now.Before(s.ColdUntil)
+	return ok && now.Sub(at) < warmLife || !ok && first && !now.Before(s.ColdUntil)
 }
 
 // load is the number of requests that are believed to be at the server.
@@ -288,7 +347,7 @@
 	}
 	n := s.inFlight + int(others+0.5)
 	if now.Before(s.fullUntil) {
-		n = max(n, int(queuePerSlot*float64(s.Slots)))
+		n = max(n, int(fullPerSlot*float64(s.Slots)))
 	}
 	return n
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -18,16 +18,32 @@
 	// two and a half heartbeats; the platform wants a dead one out of the
 	// directory within its stability window (4 s) and 3 s.
 	AliveFor = 2500 * time.Millisecond
-	// storeFresh is the age of the last answer of the store above which
-	// a member does not follow the store for others. It covers one waiting
-	// call and the delay of a heartbeat.
-	storeFresh = 8 * time.Second
+	// storeFresh is the age of its last store answer up to which a member
+	// counts as a follower of the store: one waiting call of 4 s, and its
+	// time-out.
+	storeFresh = 6500 * time.Millisecond
+	// takeOver is how long the members of a region hear of no follower before
+	// the first of them by rank follows the store, and takeOverStep how much
+	// longer each next one waits. lastPlace bounds the wait.
+	takeOver     = 2 * time.Second
+	takeOverStep = 400 * time.Millisecond
+	lastPlace    = 5
+	// domainLinks is the number of members of each other failure domain of
+	// the region that an instance exchanges heartbeats with, and regionLinks
+	// the same for each other region. Two, so that the loss of one member
+	// leaves an address to name to clients; across regions one, because its
+	// bytes are dear and every member of a region has its own.
+	domainLinks = 2
+	regionLinks = 1
 	// minAddrs is the number of addresses that an answer of the directory
 	// holds at least, if there are as many: a client whose only address
 	// fails has none left until its answer expires.
 	minAddrs = 2
 	// maxAddrs is what clients take of an answer at most.
 	maxAddrs = 64
+	// silentFor is how long a member that did not answer is passed over for
+	// another link.
+	silentFor = 10 * time.Second
 	// forgetAfter is how long a silent member is remembered.
 	forgetAfter = 2 * time.Minute
 )
@@ -48,6 +64,12 @@
 	// StoreAge is the age of its last own answer of the store; negative if it
 	// has none.
 	StoreAge time.Duration
+	// Following says that it follows the store for its region.
+	Following bool
+}
+
+func (s Status) follows() bool {
+	return s.Following && s.State != Leaving && s.StoreAge >= 0 && s.StoreAge <= storeFresh
 }
 
 type member struct {
@@ -56,6 +78,7 @@
 	heardAt time.Time // zero: never
 	gone    bool      // its address refused a connection
 	addedAt time.Time
+	askedAt time.Time // last heartbeat without an answer
 }
 
 // Roster is the list of one entry instance. One goroutine at a time may use it.
@@ -63,6 +86,9 @@
 	self    fleet.Member
 	status  Status
 	members map[string]*member
+
+	following  bool
+	followerAt time.Time // a follower was last heard of
 }
 
 // New returns a roster that knows only the instance itself.
@@ -191,23 +217,90 @@
 	return size, place
 }
 
-// FollowsStore reports whether the instance itself follows the store: in each
-// region the first alive member by rank whose store answers does. An instance
-// that hears of nobody who does follows it itself.
+// FollowsStore reports whether the instance itself follows the store for its
+// region. It does until it hears of a follower that comes before it by rank,
+// and begins when it has heard of no follower for some time.
 func (r *Roster) FollowsStore(now time.Time) bool {
 	mine := rank("store", r.self.ID)
 	for _, m := range r.members {
-		if m.Region != r.self.Region || !m.alive(now) || m.status.State == Leaving {
-			continue
-		}
-		if m.status.StoreAge < 0 || m.status.StoreAge > storeFresh {
+		if m.Region != r.self.Region || !m.alive(now) || !m.status.follows() {
 			continue
 		}
+		r.followerAt = now
 		if rank("store", m.ID) < mine {
-			return false
+			r.following = false
+		}
+	}
+	if r.followerAt.IsZero() {
+		r.followerAt = now
+	}
+	if !r.following && r.status.State != Leaving {
+		_, place := r.RegionSize(r.self.Region, "store")
+		wait := takeOver + takeOverStep*time.Duration(min(place, lastPlace))
+		if now.Sub(r.followerAt) >= wait {
+			r.following = true
+		}
+	}
+	return r.following
+}
+
+// Links returns the members that the instance exchanges heartbeats with: all of
+// its failure domain, a few of every other one of its region and fewer of every
+// other region, chosen by rank for this instance. A follower of the store has
+// links to its whole region.
+func (r *Roster) Links(now time.Time) []fleet.Member {
+	groups := map[string][]fleet.Member{}
+	var out []fleet.Member
+	for _, m := range r.Peers(now) {
+		switch {
+		case m.FailureDomain == r.self.FailureDomain, m.Region == r.self.Region && r.following:
+			out = append(out, m)
+		case m.Region == r.self.Region:
+			groups["d/"+m.FailureDomain] = append(groups["d/"+m.FailureDomain], m)
+		default:
+			groups["r/"+m.Region] = append(groups["r/"+m.Region], m)
+		}
+	}
+	for key, group := range groups {
+		slices.SortFunc(group, func(a, b fleet.Member) int {
+			// Members that are alive come first, so that a dead one is
+			// replaced.
+			return cmp.Or(
+				compareBool(r.silent(now, a.ID), r.silent(now, b.ID)),
+				cmp.Compare(rank(r.self.ID, a.ID), rank(r.self.ID, b.ID)),
+			)
+		})
+		n := domainLinks
+		if key[0] == 'r' {
+			n = regionLinks
 		}
+		out = append(out, group[:min(n, len(group))]...)
+	}
+	return out
+}
+
+// silent reports whether a member was asked and did not answer.
+func (r *Roster) silent(now time.Time, id string) bool {
+	m := r.members[id]
+	return m == nil || m.gone || !m.askedAt.IsZero() && now.Sub(m.askedAt) < silentFor && !m.alive(now)
+}
+
+// Asked records that a heartbeat to a member stayed without an answer.
+func (r *Roster) Asked(now time.Time, id string) {
+	if m := r.members[id]; m != nil {
+		m.askedAt = now
+	}
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
 	}
-	return true
 }
 
 func rank(key, id string) uint64 {
