--- a/pkg/ingress/steer.go
+++ b/pkg/ingress/steer.go
@@ -75,7 +75,7 @@
 		g.log.limited("foreign", hclog.Warn, "skipped answers that belong to other requests",
 			"request", r.head.ID, "server", c.Server.ID, "answers", timing.Foreign)
 	}
-	result := placement.Result{Connect: timing.Connect}
+	result := placement.Result{Connect: timing.Connect, NewConnection: !timing.Reused}
 	res := r.classify(ctx, answer, err, &result)
 	if res.sent {
 		r.sends++
--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -59,10 +59,13 @@
 	// firstEject and lastEject bound the time for which an unreachable server
 	// is not tried. It doubles with each failure.
 	firstEject = 300 * time.Millisecond
-	lastEject  = 3 * time.Second
+	lastEject  = 6 * time.Second
 	// brokenEject is the number of failures in a row, broken answers or errors
 	// of the server's own, that eject. Sound servers fail 1 to 4 of 1,000.
+	// A connection that ends without any answer counts freshBroken: unlike an
+	// error of one request it speaks for the server.
 	brokenEject = 3
+	freshBroken = 2
 	// shedHold is how long a server that shed a request counts as full.
 	shedHold = 150 * time.Millisecond
 	// coldSlowness is how much slower a cold server is until answers tell:
--- a/pkg/placement/learn.go
+++ b/pkg/placement/learn.go
@@ -36,7 +36,10 @@
 	case Failed, Broken:
 		// A server may look healthy and fail all it gets.
 		s.broken++
-		if s.broken >= brokenEject {
+		if r.NewConnection && r.Outcome == Broken {
+			s.broken += freshBroken - 1
+		}
+		if s.broken >= brokenEject || s.failures > 0 {
 			s.eject(now)
 		}
 	case Abandoned:
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -127,4 +127,6 @@
 	LoadReported bool
 	// Connect is the time that a new connection took, 0 if none was opened.
 	Connect time.Duration
+	// NewConnection says that the request was the first one of its connection.
+	NewConnection bool
 }
