--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -115,7 +115,7 @@
 	}
 	m.mu.Unlock()
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	w.WriteHeader(http.StatusOK) // go-zero's fallback answers 404 otherwise
+	w.WriteHeader(http.StatusOK)       // go-zero's fallback answers 404 otherwise
 	_, _ = w.Write([]byte(b.String())) // the reader has gone
 }
 
--- a/pkg/ingress/peers.go
+++ b/pkg/ingress/peers.go
@@ -199,7 +199,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	status := g.statusLocked(now)
-	out := &wire.ReplicaSync{Member: encodeMember(g.self), Introduce: introduce}
+	out := &wire.ReplicaSync{Member: encodeMember(g.self), Introduce: introduce, FailingServers: g.steering.failing(now)}
 	out.Member.State = wireStates[status.State]
 	out.Member.Following = status.Following
 	out.Member.StoreAgeMs = status.StoreAge.Milliseconds()
@@ -257,6 +257,10 @@
 		g.log.line(hclog.Info, "peer heard", "peer", from.ID, "incarnation", from.Incarnation, "failure_domain", from.FailureDomain)
 		g.refresh(now)
 	}
+	if failing := in.GetFailingServers(); len(failing) > 0 && from.Region == g.self.Region {
+		g.steering.suspect(now, failing)
+		g.log.limited("suspect", hclog.Info, "peer reports failing backend servers", "peer", from.ID, "servers", failing)
+	}
 	for _, rows := range in.GetRows() {
 		g.merge(now, replica.TableName(rows.GetTable()), decodeBatch(rows), "peer "+from.ID)
 	}
--- a/pkg/ingress/steering.go
+++ b/pkg/ingress/steering.go
@@ -100,6 +100,18 @@
 	s.balancer.Done(now, c, r)
 }
 
+func (s *steering) failing(now time.Time) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.Failing(now)
+}
+
+func (s *steering) suspect(now time.Time, ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.balancer.Suspect(now, ids)
+}
+
 func (s *steering) retriesInWindow(now time.Time) map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -66,6 +66,13 @@
 	// error of one request it speaks for the server.
 	brokenEject = 3
 	freshBroken = 2
+	// suspectLife is how long the word of another entry instance counts that
+	// a server fails: a heartbeat (1 s) and a half, so that it holds while it
+	// is repeated.
+	suspectLife = 1500 * time.Millisecond
+	// suspectMost is the part of the servers of a service and region that may
+	// be passed over because of others' word.
+	suspectMost = 0.34
 	// shedHold is how long a server that shed a request counts as full.
 	shedHold = 150 * time.Millisecond
 	// coldSlowness is how much slower a cold server is until answers tell:
@@ -99,7 +106,8 @@
 	failures   int // unreachable in a row
 	broken     int // broken answers in a row
 	ejected    time.Time
-	probing    bool // one request is trying an ejected server
+	suspect    time.Time // until then the word of another instance counts
+	probing    bool      // one request is trying an ejected server
 	coldSends  []time.Time
 	warm       map[string]time.Time
 }
@@ -335,7 +343,7 @@
 
 // open reports whether a server may get a request at all.
 func (s *server) open(now time.Time) bool {
-	if s.probing || now.Before(s.ejected) {
+	if s.probing || now.Before(s.ejected) || now.Before(s.suspect) {
 		return false
 	}
 	if !now.Before(s.ColdUntil) {
--- a/pkg/placement/balancer_test.go
+++ b/pkg/placement/balancer_test.go
@@ -197,3 +197,32 @@
 	}
 	require.Less(t, failed, 20, "of 4 s")
 }
+
+// Guards against unsafe requests that each entry instance loses at the same
+// failing server, and against a word of others that closes a whole service:
+// the instance that gives it may be the one that is cut off.
+func TestWordOfOthers(t *testing.T) {
+	a, b := New("north"), New("north")
+	for _, x := range []*Balancer{a, b} {
+		x.Update(fleetOf(6, nil))
+	}
+	c, _ := a.Choose(epoch, ask("o"))
+	a.Done(epoch, c, Result{Outcome: Unreachable})
+	require.Equal(t, []string{c.Server.ID}, a.Failing(epoch))
+	b.Suspect(epoch, a.Failing(epoch))
+	require.Empty(t, b.Failing(epoch), "the word is not passed on")
+	other, refusal := b.Choose(epoch, ask("o"))
+	require.Nil(t, refusal)
+	require.NotEqual(t, c.Server.ID, other.Server.ID)
+	again, _ := b.Choose(at(suspectLife), ask("o"))
+	require.Equal(t, c.Server.ID, again.Server.ID)
+
+	b.Suspect(at(time.Minute), []string{"s0", "s1", "s2", "s3", "s4", "s5"})
+	open := 0
+	for _, s := range b.servers {
+		if s.open(at(time.Minute)) {
+			open++
+		}
+	}
+	require.Equal(t, 4, open)
+}
--- a/pkg/placement/learn.go
+++ b/pkg/placement/learn.go
@@ -138,3 +138,54 @@
 	}
 	return old + time.Duration(weight*float64(sample-old))
 }
+
+// Failing returns the servers that are ejected because they failed this
+// instance, in id order. What others say of servers is not passed on.
+func (b *Balancer) Failing(now time.Time) []string {
+	var out []string
+	for id, s := range b.servers {
+		if now.Before(s.ejected) || s.failures > 0 {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Suspect passes servers over for a while because they failed another entry
+// instance of the region, so that not each instance has to lose requests there.
+// A few words are taken only: the other instance may be the one that is cut off.
+func (b *Balancer) Suspect(now time.Time, ids []string) {
+	type group struct{ service, region string }
+	passed := map[group]int{}
+	for _, s := range b.servers {
+		if now.Before(s.suspect) || now.Before(s.ejected) {
+			passed[group{s.Service, s.Region}]++
+		}
+	}
+	for _, id := range ids {
+		s := b.servers[id]
+		if s == nil {
+			continue
+		}
+		if now.Before(s.suspect) {
+			s.suspect = now.Add(suspectLife)
+			continue
+		}
+		g := group{s.Service, s.Region}
+		if float64(passed[g]+1) <= suspectMost*float64(b.groupSize(g.service, g.region)) {
+			s.suspect = now.Add(suspectLife)
+			passed[g]++
+		}
+	}
+}
+
+func (b *Balancer) groupSize(service, region string) int {
+	n := 0
+	for _, s := range b.byService[service] {
+		if s.Region == region {
+			n++
+		}
+	}
+	return n
+}
