--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -66,6 +66,7 @@
 	serversKnown  atomic.Bool
 	leaving       atomic.Bool
 	following     atomic.Bool // follows the store for its region
+	storeAway     atomic.Bool // the last call of a follower failed
 	changed       chan struct{}
 }
 
--- a/pkg/ingress/peers.go
+++ b/pkg/ingress/peers.go
@@ -281,7 +281,7 @@
 func (g *Ingress) updateStatusLocked(now time.Time) { g.roster.SetSelf(g.statusLocked(now)) }
 
 func (g *Ingress) statusLocked(now time.Time) roster.Status {
-	s := roster.Status{State: roster.NotReady, StoreAge: g.storeAge(now), Following: g.following.Load()}
+	s := roster.Status{State: roster.NotReady, StoreAge: g.storeAge(now), Following: g.following.Load() && !g.storeAway.Load()}
 	switch {
 	case g.leaving.Load():
 		s.State = roster.Leaving
--- a/pkg/ingress/sync.go
+++ b/pkg/ingress/sync.go
@@ -65,6 +65,7 @@
 				g.log.line(hclog.Warn, "store lost", "table", table, "error", err, "answer_age_ms", g.storeAge(now).Milliseconds())
 			}
 			away = true
+			g.storeAway.Store(true)
 			g.mu.Lock()
 			g.registry.NoteStoreAway(started, now)
 			g.mu.Unlock()
@@ -76,6 +77,7 @@
 			g.log.line(hclog.Info, "store regained", "table", table)
 			away = false
 		}
+		g.storeAway.Store(false)
 		snapshot = false
 		pause = storeRetry
 		g.storeAnswered.Store(now.UnixNano())
--- a/pkg/placement/learn.go
+++ b/pkg/placement/learn.go
@@ -144,7 +144,7 @@
 func (b *Balancer) Failing(now time.Time) []string {
 	var out []string
 	for id, s := range b.servers {
-		if now.Before(s.ejected) || s.failures > 0 {
+		if now.Before(s.ejected) {
 			out = append(out, id)
 		}
 	}
