--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -164,6 +164,8 @@
 	others  []*httpserver.Server
 }
 
+const metricsListener = "metrics"
+
 func (g *Ingress) listen(group *errgroup.Group) (*servers, error) {
 	n := g.node.Load()
 	out := &servers{}
@@ -175,7 +177,7 @@
 		{"clients", n.ClientAddr, nil, g.handleRequest},
 		{"ready", n.ReadyAddr, []rest.Route{{Method: http.MethodGet, Path: g.protocol.ReadyPath(), Handler: g.handleReady}}, nil},
 		{"directory", n.DirectoryAddr, []rest.Route{{Method: http.MethodGet, Path: g.protocol.LookupPath(), Handler: g.handleLookup}}, nil},
-		{"metrics", n.MetricsAddr, nil, g.metrics.handle},
+		{metricsListener, n.MetricsAddr, nil, g.metrics.handle},
 	} {
 		if l.addr == "" {
 			continue
@@ -185,6 +187,11 @@
 			return nil, err
 		}
 		listener, err := net.Listen("tcp", l.addr)
+		if err != nil && l.name == metricsListener {
+			// Requests do not need it.
+			g.log.line(hclog.Warn, "metrics cannot be read: no listener", "addr", l.addr, "error", err)
+			continue
+		}
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen for %s on %s", l.name, l.addr)
 		}
