--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -27,7 +27,23 @@
 	used      bool // carried a request before
 	answered  bool // something arrived for the present request
 	idleSince time.Time
-	expires   time.Time // by the Keep-Alive header of the server
+	connect   time.Duration // time to open it, about one round trip
+	expires   time.Time     // by the Keep-Alive header of the server
+}
+
+const (
+	// forgottenLeast is the idle time below which a reset has another cause.
+	forgottenLeast = 50 * time.Millisecond
+	// resetSlack is added to a round trip for the reset of a connection that
+	// the server does not know any more. A server that resets a request which
+	// it ran takes the time of the work, 50 ms and more.
+	resetSlack = 10 * time.Millisecond
+)
+
+// forgotten reports whether a failed request met a connection that its server
+// had forgotten: the reset came at once, after some idle time.
+func (c *conn) forgotten(now time.Time, t Timing) bool {
+	return t.Reused && !c.answered && t.Idle >= forgottenLeast && now.Sub(t.SentAt) <= c.connect+resetSlack
 }
 
 func (c *conn) abort() { _ = c.nc.Close() } // the exchange sees the closed connection
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -42,10 +42,11 @@
 	// uses a kept connection. Default 4 s: backend servers close after 10 s,
 	// or after the time that they announce.
 	SafeIdle time.Duration
-	// UnsafeIdle is the same for other requests. Default 250 ms: a reset
-	// leaves it open whether such a request ran, so it only uses a connection
-	// that has just proved to work. Servers that forget idle connections early
-	// do so after 300 ms (LATER, idle_race).
+	// UnsafeIdle is the same for other requests. Default 1 s: a reset leaves
+	// it open whether such a request ran, so it only uses a connection that
+	// has just proved to work. It is not shorter, because a new connection to
+	// another region costs 70 to 110 ms; servers that forget connections
+	// earlier are noticed by their resets (noteForgotten).
 	UnsafeIdle time.Duration
 	// Silence is how long sent bytes may stay unacknowledged before the
 	// connection counts as broken. Default 1 s.
@@ -55,7 +56,7 @@
 func (c Config) withDefaults() Config {
 	setDefault(&c.DialTimeout, 400*time.Millisecond)
 	setDefault(&c.SafeIdle, 4*time.Second)
-	setDefault(&c.UnsafeIdle, 250*time.Millisecond)
+	setDefault(&c.UnsafeIdle, time.Second)
 	setDefault(&c.Silence, time.Second)
 	return c
 }
@@ -131,10 +132,6 @@
 
 	mu    sync.Mutex
 	hosts map[string]*host
-	// A kept connection failed after it was idle for forgotIdle; until
-	// forgotUntil only connections that were idle for half as long are used.
-	forgotIdle  time.Duration
-	forgotUntil time.Time
 }
 
 // forgetMemory is how long a failure of a kept connection shortens the idle
@@ -144,6 +141,10 @@
 type host struct {
 	idle []*conn // most recently used last
 	open int
+	// A kept connection was forgotten after it was idle for forgotIdle; until
+	// forgotUntil only connections that were idle for half as long are used.
+	forgotIdle  time.Duration
+	forgotUntil time.Time
 }
 
 // New returns an empty pool.
@@ -164,8 +165,8 @@
 	if !stop() {
 		reusable = false
 	}
-	if err != nil && t.Reused && !c.answered && ctx.Err() == nil {
-		p.noteForgotten(time.Now(), t.Idle)
+	if err != nil && ctx.Err() == nil && c.forgotten(time.Now(), t) {
+		p.noteForgotten(time.Now(), r.Addr, t.Idle)
 	}
 	if ctx.Err() != nil && err != nil {
 		err = &Error{Sent: true, Err: errors.Wrap(context.Cause(ctx), "abandoned")}
@@ -174,14 +175,17 @@
 	return answer, t, err
 }
 
-// noteForgotten records that a kept connection failed without an answer.
-func (p *Pool) noteForgotten(now time.Time, idle time.Duration) {
+// noteForgotten records that a server had forgotten a kept connection. It
+// counts for this server alone: the connections to a server that crashed fail in
+// the same way.
+func (p *Pool) noteForgotten(now time.Time, addr string, idle time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.After(p.forgotUntil) || idle < p.forgotIdle {
-		p.forgotIdle = idle
+	h := p.host(addr)
+	if now.After(h.forgotUntil) || idle < h.forgotIdle {
+		h.forgotIdle = idle
 	}
-	p.forgotUntil = now.Add(forgetMemory)
+	h.forgotUntil = now.Add(forgetMemory)
 }
 
 func (p *Pool) host(addr string) *host {
@@ -228,6 +232,7 @@
 		return nil, &Error{Unreachable: ctx.Err() == nil, Err: err}
 	}
 	t.Connect = time.Since(start)
+	c.connect = t.Connect
 	if p.Opened != nil {
 		p.Opened()
 	}
@@ -241,8 +246,8 @@
 	defer p.mu.Unlock()
 	h := p.host(addr)
 	now := time.Now()
-	if now.Before(p.forgotUntil) {
-		maxIdle = min(maxIdle, p.forgotIdle/2)
+	if now.Before(h.forgotUntil) {
+		maxIdle = min(maxIdle, h.forgotIdle/2)
 	}
 	for len(h.idle) > 0 {
 		c := h.idle[len(h.idle)-1]
@@ -294,7 +299,7 @@
 			kept = append(kept, c)
 		}
 		h.idle = kept
-		if h.open == 0 {
+		if h.open == 0 && now.After(h.forgotUntil) {
 			delete(p.hosts, addr)
 		}
 	}
