--- a/pkg/entry/callers.go
+++ b/pkg/entry/callers.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 	"github.com/zeromicro/go-zero/rest"
 
+	"github.com/dandelionrack/dandelionrack/internal/bytebudget"
 	"github.com/dandelionrack/dandelionrack/pkg/claim"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/lookup"
@@ -183,7 +184,7 @@
 		e.refuse(w, id, *refusal)
 		return
 	}
-	defer e.buffers.release(int64(len(req.body)))
+	defer e.buffers.Release(int64(len(req.body)))
 	e.inFlight.Add(1)
 	defer e.inFlight.Done()
 
@@ -266,16 +267,16 @@
 	if r.ContentLength > limit {
 		return nil, refusal(ReasonTooLarge, "body is larger than %d bytes", limit)
 	}
-	budgeted := &budgetReader{r: r.Body, budget: &e.buffers}
+	budgeted := e.buffers.NewReader(r.Body)
 	body, err := io.ReadAll(io.LimitReader(budgeted, limit+1))
 	if err == nil && int64(len(body)) <= limit {
 		return body, nil
 	}
-	e.buffers.release(budgeted.taken)
+	e.buffers.Release(budgeted.Taken())
 	switch {
 	case err == nil:
 		return nil, refusal(ReasonTooLarge, "body is larger than %d bytes", limit)
-	case errors.Is(err, errBudget):
+	case errors.Is(err, bytebudget.ErrFull):
 		return nil, refusal(ReasonOverload, "bodies in flight use up this entry instance's memory limit")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, refusal(ReasonDeadline, "body was not received in time")
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"github.com/dandelionrack/dandelionrack/internal/bytebudget"
 	"github.com/dandelionrack/dandelionrack/pkg/admission"
 	"github.com/dandelionrack/dandelionrack/pkg/backend"
 	"github.com/dandelionrack/dandelionrack/pkg/burn"
@@ -53,7 +54,7 @@
 	claims     *claim.Manager
 	backends   *backend.Pool
 	poller     *backend.Poller
-	buffers    byteBudget
+	buffers    *bytebudget.Budget
 	orders     orderCache
 	// serversChanged wakes runWarm after a configuration change.
 	serversChanged chan struct{}
@@ -123,7 +124,7 @@
 		platform:        platform.NewClient(platform.ClientConfig{BaseURL: settings.PlatformURL, Timeout: platformTimeout}),
 		holder:          &config.Holder{},
 		backends:        backend.NewPool(backend.Config{}),
-		buffers:         byteBudget{limit: settings.MaxBufferedBytes},
+		buffers:         bytebudget.New(settings.MaxBufferedBytes),
 		members:         membership.New(membership.Config{Self: settings.ID}),
 		leavingPlatform: map[string]bool{},
 		leavingHealth:   map[string]bool{},
--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -58,7 +58,7 @@
 		"claims":               func() any { return e.claims.Stats() },
 		"archive":              func() any { return e.archiver.Stats() },
 		"peer_sessions":        func() any { return e.peerServer.Stats() },
-		"buffered_bytes":       func() any { return e.buffers.used.Load() },
+		"buffered_bytes":       func() any { return e.buffers.Used() },
 		"servers":              func() any { return e.serverStatus() },
 		"queues":               func() any { return e.queueLengths() },
 		"link_bytes_available": func() any { return e.linkBytes() },
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/dandelionrack/dandelionrack/internal/bytebudget"
 	"github.com/dandelionrack/dandelionrack/pkg/fleet"
 	"github.com/dandelionrack/dandelionrack/pkg/httpserver"
 	"github.com/dandelionrack/dandelionrack/pkg/peer"
@@ -53,7 +54,7 @@
 	backends *upstream.Pool
 	peers    *peer.Pool
 	peerIn   *peer.Server
-	buffered atomic.Int64
+	buffered *bytebudget.Budget
 
 	mu       sync.Mutex // guards the fields below
 	tables   map[replica.TableName]*replica.Table
@@ -90,6 +91,7 @@
 		metrics:  newMetrics(),
 		steering: newSteering(o.Node),
 		backends: upstream.New(upstream.Config{}),
+		buffered: bytebudget.New(o.Settings.MaxBufferedBytes),
 		tables: map[replica.TableName]*replica.Table{
 			replica.Operator: replica.New(), replica.Servers: replica.New(),
 		},
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -62,7 +62,7 @@
 		}
 		return 0
 	})
-	gauge("buffered_bytes", func() any { return g.buffered.Load() })
+	gauge("buffered_bytes", func() any { return g.buffered.Used() })
 	gauge("peers_alive", func() any {
 		now := time.Now()
 		g.mu.Lock()
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/dandelionrack/dandelionrack/internal/bytebudget"
 	"github.com/dandelionrack/dandelionrack/pkg/fleet"
 	"github.com/dandelionrack/dandelionrack/pkg/placement"
 	"github.com/dandelionrack/dandelionrack/pkg/upstream"
@@ -71,11 +72,10 @@
 	arrived  time.Time
 	deadline time.Time
 
-	sends    int // requests that left for a server
-	runs     int // servers that may have run it
-	tried    []string
-	last     placement.Choice
-	lastSent time.Time
+	sends int // requests that left for a server
+	runs  int // servers that may have run it
+	tried []string
+	last  placement.Choice
 }
 
 // reply is a final answer.
@@ -112,7 +112,7 @@
 	if bad := r.readBody(w); bad != nil {
 		return *bad
 	}
-	defer r.g.buffered.Add(-int64(len(r.body)))
+	defer r.g.buffered.Release(int64(len(r.body)))
 	r.service = r.g.steering.part(r.arrived, r.route, r.object())
 	r.header = upstream.EndToEnd(r.http.Header)
 	ctx, cancel := r.context()
@@ -164,18 +164,18 @@
 	if r.http.Body == nil || r.http.Body == http.NoBody {
 		return nil
 	}
-	reader := &boundedReader{r: http.MaxBytesReader(w, r.http.Body, limit), used: &r.g.buffered, limit: r.g.settings.MaxBufferedBytes}
+	reader := r.g.buffered.NewReader(http.MaxBytesReader(w, r.http.Body, limit))
 	body, err := io.ReadAll(reader)
 	if err == nil {
 		r.body = body
 		return nil
 	}
-	r.g.buffered.Add(-reader.taken)
+	r.g.buffered.Release(reader.Taken())
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return &reply{status: http.StatusRequestEntityTooLarge, outcome: outcomeClientError, reason: reasonTooLarge}
-	case errors.Is(err, errMemory):
+	case errors.Is(err, bytebudget.ErrFull):
 		return &reply{status: http.StatusServiceUnavailable, outcome: outcomeNotRun, reason: reasonMemory, retryAfter: startRetryAfter}
 	default:
 		return &reply{status: http.StatusBadRequest, outcome: outcomeClientError, reason: reasonClientBody, cause: err}
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -10,6 +10,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -54,19 +55,13 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.DialTimeout, 400*time.Millisecond)
-	setDefault(&c.SafeIdle, 4*time.Second)
-	setDefault(&c.UnsafeIdle, time.Second)
-	setDefault(&c.Silence, time.Second)
+	c.DialTimeout = cmp.Or(c.DialTimeout, 400*time.Millisecond)
+	c.SafeIdle = cmp.Or(c.SafeIdle, 4*time.Second)
+	c.UnsafeIdle = cmp.Or(c.UnsafeIdle, time.Second)
+	c.Silence = cmp.Or(c.Silence, time.Second)
 	return c
 }
 
-func setDefault(d *time.Duration, to time.Duration) {
-	if *d <= 0 {
-		*d = to
-	}
-}
-
 // Request is one request to one backend server.
 type Request struct {
 	Addr           string
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -81,12 +81,6 @@
 	return append([]string(nil), s.requests...)
 }
 
-func (s *script) opened() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.connections
-}
-
 func answer(c net.Conn, id, body string) {
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
