--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -61,6 +61,7 @@
 	registry *registry.Registry
 	roster   *roster.Roster
 	links    map[string]*link
+	rows     *rowEncoder
 
 	storeAnswered atomic.Int64 // Unix nanoseconds; 0: never
 	document      atomic.Pointer[fleet.Document]
@@ -97,6 +98,7 @@
 		},
 		registry: registry.New(o.Protocol),
 		links:    map[string]*link{},
+		rows:     newRowEncoder(),
 		changed:  make(chan struct{}, 1),
 	}
 	g.roster = roster.New(g.self)
--- a/pkg/ingress/peers.go
+++ b/pkg/ingress/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -216,7 +215,7 @@
 			continue
 		}
 		if has, ok := l.has[name]; (ok || l.member.ID == "") && has < t.Version() {
-			if rows := encodeBatch(name, t.Since(now, has)); len(rows.Rows) > 0 || rows.Full {
+			if rows := g.rows.encode(name, t.Since(now, has)); len(rows.Rows) > 0 || rows.Full {
 				out.Rows = append(out.Rows, rows)
 			}
 		}
@@ -262,7 +261,12 @@
 		g.log.limited("suspect", hclog.Info, "peer reports failing backend servers", "peer", from.ID, "servers", failing)
 	}
 	for _, rows := range in.GetRows() {
-		g.merge(now, replica.TableName(rows.GetTable()), decodeBatch(rows), "peer "+from.ID)
+		batch, err := decodeBatch(rows)
+		if err != nil {
+			g.log.limited("rows", hclog.Warn, "rows of a peer cannot be read", "peer", from.ID, "error", err)
+			continue
+		}
+		g.merge(now, replica.TableName(rows.GetTable()), batch, "peer "+from.ID)
 	}
 }
 
@@ -322,19 +326,3 @@
 		ClientAddr: m.GetClientAddr(), PeerAddr: m.GetPeerAddr(),
 	}
 }
-
-func encodeBatch(name replica.TableName, b replica.Batch) *wire.TableRows {
-	out := &wire.TableRows{Table: string(name), After: b.After, Version: b.Version, Full: b.Full}
-	for _, r := range b.Rows {
-		out.Rows = append(out.Rows, &wire.TableRow{Key: r.Key, Version: r.Version, Value: r.Value, Removed: r.Removed})
-	}
-	return out
-}
-
-func decodeBatch(in *wire.TableRows) replica.Batch {
-	b := replica.Batch{After: in.GetAfter(), Version: in.GetVersion(), Full: in.GetFull()}
-	for _, r := range in.GetRows() {
-		b.Rows = append(b.Rows, replica.Row{Key: r.GetKey(), Version: r.GetVersion(), Value: slices.Clone(r.GetValue()), Removed: r.GetRemoved()})
-	}
-	return b
-}
