--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -46,8 +46,7 @@
 	rows    map[string]entry
 	version uint64
 	known   bool
-	// pruned is the version up to which removals may be unknown: that of a
-	// snapshot, or of a forgotten tombstone.
+	// pruned is the highest version of a forgotten tombstone.
 	pruned uint64
 }
 
@@ -70,10 +69,6 @@
 	}
 	if b.Full {
 		changed = append(changed, t.removeAbsent(now, b)...)
-		if b.Version > t.version {
-			// The removals before a snapshot are not known.
-			t.pruned = max(t.pruned, b.Version)
-		}
 	}
 	if b.Full || t.known && b.After <= t.version {
 		t.version = max(t.version, b.Version)
