--- /dev/null
+++ b/internal/rendezvous/rendezvous_test.go
@@ -0,0 +1,36 @@
+package rendezvous
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an order that changes between versions of the program: entry
+// instances of both run side by side during a rollout.
+func TestWeightIsStable(t *testing.T) {
+	require.Equal(t, uint64(17401775047412406801), Weight("server", "seat"))
+	require.Equal(t, uint64(16558593709083248765), Weight("service", "object", "server"))
+	require.NotEqual(t, Weight("a", "bc"), Weight("ab", "c"))
+}
+
+// Guards against names that differ in their last character and always rank alike.
+func TestShortNamesSpread(t *testing.T) {
+	const keys, names = 3000, 6
+	first := map[string]int{}
+	for k := range keys {
+		best, top := "", uint64(0)
+		for n := range names {
+			name := fmt.Sprint("entry-", n)
+			if w := Weight(fmt.Sprint("key-", k), name); w >= top {
+				best, top = name, w
+			}
+		}
+		first[best]++
+	}
+	for name, n := range first {
+		require.InDelta(t, keys/names, n, keys/names/5, name)
+	}
+	require.Len(t, first, names)
+}
--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 	"time"
+
+	"github.com/dandelionrack/dandelionrack/internal/rendezvous"
 )
 
 const (
@@ -182,14 +183,14 @@
 		return o
 	}
 	type ranked struct {
-		s     *server
-		score uint64
+		s      *server
+		weight uint64
 	}
 	all := make([]ranked, 0, len(b.byService[service]))
 	for _, s := range b.byService[service] {
-		all = append(all, ranked{s, score(service, object, s.ID)})
+		all = append(all, ranked{s, rendezvous.Weight(service, object, s.ID)})
 	}
-	slices.SortFunc(all, func(x, y ranked) int { return cmp.Compare(y.score, x.score) })
+	slices.SortFunc(all, func(x, y ranked) int { return cmp.Compare(y.weight, x.weight) })
 	var out ranking
 	for _, r := range all {
 		if r.s.Region == b.region {
@@ -205,20 +206,6 @@
 	return out
 }
 
-// score ranks a server for an object; the highest is first.
-func score(service, object, id string) uint64 {
-	h := fnv.New64a()
-	for _, text := range []string{service, "\x00", object, "\x00", id} {
-		_, _ = h.Write([]byte(text)) // a hash never fails
-	}
-	// FNV spreads the last bytes badly over the high bits; this finalizer is
-	// the one of splitmix64.
-	x := h.Sum64()
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // load is the number of requests that are believed to be at the server.
 func (s *server) load(now time.Time) int {
 	others := 0.0
--- a/pkg/placement/split.go
+++ b/pkg/placement/split.go
@@ -4,6 +4,7 @@
 	"math"
 	"slices"
 
+	"github.com/dandelionrack/dandelionrack/internal/rendezvous"
 	"github.com/dandelionrack/dandelionrack/pkg/fleet"
 )
 
@@ -68,7 +69,7 @@
 		if p.Weight <= 0 {
 			continue
 		}
-		u := (float64(score(r.Name, object, p.Service)>>11) + 0.5) / (1 << 53)
+		u := (float64(rendezvous.Weight(r.Name, object, p.Service)>>11) + 0.5) / (1 << 53)
 		if v := p.Weight / weights / -math.Log(u); v > highest {
 			best, highest = i, v
 		}
--- a/pkg/placement/spread.go
+++ b/pkg/placement/spread.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/dandelionrack/dandelionrack/internal/rendezvous"
+)
 
 const (
 	// spreadTick is the least time between two steps of a spread.
@@ -78,7 +82,7 @@
 }
 
 func (s *spread) isFar(service, object string) bool {
-	return s.share > 0 && float64(score(service, object, "")>>11)/(1<<53) < s.share
+	return s.share > 0 && float64(rendezvous.Weight(service, object, "")>>11)/(1<<53) < s.share
 }
 
 // request pays in, takeSpill takes out.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -5,11 +5,11 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/dandelionrack/dandelionrack/internal/rendezvous"
 	"github.com/dandelionrack/dandelionrack/pkg/fleet"
 )
 
@@ -202,7 +202,7 @@
 // and the place of the instance itself among them in an order by key; -1 if it
 // is of another region.
 func (r *Roster) RegionSize(region, key string) (size, place int) {
-	mine := rank(key, r.self.ID)
+	mine := rendezvous.Weight(key, r.self.ID)
 	place = -1
 	if r.self.Region == region {
 		size, place = 1, 0
@@ -212,7 +212,7 @@
 			continue
 		}
 		size++
-		if place >= 0 && rank(key, m.ID) < mine {
+		if place >= 0 && rendezvous.Weight(key, m.ID) < mine {
 			place++
 		}
 	}
@@ -223,13 +223,13 @@
 // region. It does until it hears of a follower that comes before it by rank,
 // and begins when it has heard of no follower for some time.
 func (r *Roster) FollowsStore(now time.Time) bool {
-	mine := rank("store", r.self.ID)
+	mine := rendezvous.Weight("store", r.self.ID)
 	for _, m := range r.members {
 		if m.Region != r.self.Region || !m.alive(now) || !m.status.follows() {
 			continue
 		}
 		r.followerAt = now
-		if rank("store", m.ID) < mine {
+		if rendezvous.Weight("store", m.ID) < mine {
 			r.following = false
 		}
 	}
@@ -269,7 +269,7 @@
 			// replaced.
 			return cmp.Or(
 				compareBool(r.silent(now, a.ID), r.silent(now, b.ID)),
-				cmp.Compare(rank(r.self.ID, a.ID), rank(r.self.ID, b.ID)),
+				cmp.Compare(rendezvous.Weight(r.self.ID, a.ID), rendezvous.Weight(r.self.ID, b.ID)),
 			)
 		})
 		n := domainLinks
@@ -304,9 +304,3 @@
 		return 1
 	}
 }
-
-func rank(key, id string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(key + "\x00" + id)) // a hash never fails
-	return h.Sum64()
-}
