--- a/cmd/drcapacity/bed.go
+++ b/cmd/drcapacity/bed.go
@@ -14,6 +14,7 @@
 
 	platformstandin "github.com/dandelionrack/dandelionrack/internal/standin/platform"
 	"github.com/dandelionrack/dandelionrack/internal/testbed"
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/peer"
 )
@@ -47,7 +48,7 @@
 	if err != nil {
 		return nil, errors.Join(err, os.RemoveAll(dir))
 	}
-	return b, sleep(ctx, settleTime)
+	return b, wait.Sleep(ctx, settleTime)
 }
 
 func (b *smallBed) close() {
--- a/cmd/drcapacity/heartbeats.go
+++ b/cmd/drcapacity/heartbeats.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 	"github.com/dandelionrack/dandelionrack/pkg/wire"
 )
 
@@ -62,7 +63,7 @@
 	}
 	m.bytes.Store(0)
 	cpu, start := ownCPU(), time.Now()
-	if err := sleep(ctx, c.Duration/2); err != nil {
+	if err := wait.Sleep(ctx, c.Duration/2); err != nil {
 		return err
 	}
 	seconds := time.Since(start).Seconds()
@@ -129,14 +130,3 @@
 	wg.Wait()
 	return ok.Load(), bad.Load()
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/cmd/drcapacity/idle.go
+++ b/cmd/drcapacity/idle.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 )
 
@@ -55,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	if err := sleep(ctx, c.Duration); err != nil {
+	if err := wait.Sleep(ctx, c.Duration); err != nil {
 		return err
 	}
 	last, err := b.sample(ctx)
--- a/cmd/drcapacity/publish.go
+++ b/cmd/drcapacity/publish.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/dandelionrack/dandelionrack/internal/testbed"
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/operator"
 )
@@ -244,7 +245,7 @@
 		if err == nil {
 			return nil
 		}
-		if sleep(ctx, pollInterval) != nil {
+		if wait.Sleep(ctx, pollInterval) != nil {
 			return errors.Wrap(err, "not reached in time")
 		}
 	}
--- a/cmd/drcapacity/requests.go
+++ b/cmd/drcapacity/requests.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dandelionrack/dandelionrack/internal/loadgen"
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 )
 
 type requestsCommand struct {
@@ -22,7 +23,7 @@
 		return err
 	}
 	defer b.close()
-	idle, err := c.window(ctx, b, func() error { return sleep(ctx, c.Duration) })
+	idle, err := c.window(ctx, b, func() error { return wait.Sleep(ctx, c.Duration) })
 	if err != nil {
 		return err
 	}
--- a/cmd/drcapacity/streams.go
+++ b/cmd/drcapacity/streams.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 	"github.com/dandelionrack/dandelionrack/pkg/peer"
 	"github.com/dandelionrack/dandelionrack/pkg/wire"
 )
@@ -25,7 +26,7 @@
 	if err := s.round(); err != nil {
 		return err
 	}
-	if err := sleep(ctx, heartbeatInterval); err != nil {
+	if err := wait.Sleep(ctx, heartbeatInterval); err != nil {
 		return err
 	}
 	s.sent, m.bytes = 0, atomic.Int64{}
@@ -35,7 +36,7 @@
 		if err := s.round(); err != nil {
 			return err
 		}
-		if err := sleep(ctx, heartbeatInterval); err != nil {
+		if err := wait.Sleep(ctx, heartbeatInterval); err != nil {
 			return err
 		}
 	}
--- a/internal/loadgen/caller.go
+++ b/internal/loadgen/caller.go
@@ -18,6 +18,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 	"github.com/dandelionrack/dandelionrack/pkg/entry"
 )
 
@@ -137,7 +138,7 @@
 			}
 		}
 		c.forget(r.Service)
-		if !sleep(ctx, retryPause) {
+		if wait.Sleep(ctx, retryPause) != nil {
 			break
 		}
 	}
@@ -300,14 +301,3 @@
 	}
 	return answer, json.NewDecoder(resp.Body).Decode(&answer)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 )
 
 // Stream is a load of one service at a fixed rate.
@@ -69,7 +71,7 @@
 	due := time.Now()
 	for i := 0; ; i++ {
 		due = due.Add(interval)
-		if !sleep(ctx, time.Until(due)) {
+		if wait.Sleep(ctx, time.Until(due)) != nil {
 			return
 		}
 		select {
--- a/pkg/ingress/peers.go
+++ b/pkg/ingress/peers.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 	"github.com/dandelionrack/dandelionrack/pkg/fleet"
 	"github.com/dandelionrack/dandelionrack/pkg/peer"
 	"github.com/dandelionrack/dandelionrack/pkg/registry"
@@ -127,7 +128,7 @@
 		if !ok {
 			interval = silentInterval
 		}
-		sleep(ctx, pushPace)
+		_ = wait.Sleep(ctx, pushPace) // the select sees the end of ctx
 		timer := time.NewTimer(interval - pushPace)
 		select {
 		case <-ctx.Done():
--- a/pkg/ingress/sync.go
+++ b/pkg/ingress/sync.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 	"github.com/dandelionrack/dandelionrack/pkg/fleet"
 	"github.com/dandelionrack/dandelionrack/pkg/placement"
 	"github.com/dandelionrack/dandelionrack/pkg/registry"
@@ -45,7 +46,7 @@
 	snapshot := false // the next call must read the whole table
 	for ctx.Err() == nil {
 		if !g.follows(table) {
-			sleep(ctx, followCheck)
+			_ = wait.Sleep(ctx, followCheck) // the loop sees the end of ctx
 			continue
 		}
 		started := time.Now()
@@ -69,7 +70,7 @@
 			g.mu.Lock()
 			g.registry.NoteStoreAway(started, now)
 			g.mu.Unlock()
-			sleep(ctx, pause)
+			_ = wait.Sleep(ctx, pause) // the loop sees the end of ctx
 			pause = min(2*pause, storeRetryMax)
 			continue
 		}
@@ -82,7 +83,7 @@
 		pause = storeRetry
 		g.storeAnswered.Store(now.UnixNano())
 		g.merge(now, table, batch, "store")
-		sleep(ctx, feedPace-time.Since(started))
+		_ = wait.Sleep(ctx, feedPace-time.Since(started)) // the loop sees the end of ctx
 	}
 }
 
@@ -236,7 +237,7 @@
 			failing = true
 			g.log.line(hclog.Warn, "registration failed; trying again", "written", written, "error", err)
 		}
-		sleep(ctx, registerRetry)
+		_ = wait.Sleep(ctx, registerRetry) // the loop sees the end of ctx
 	}
 }
 
@@ -273,7 +274,7 @@
 // runTimers refreshes what changes by time alone.
 func (g *Ingress) runTimers(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, timerInterval)
+		_ = wait.Sleep(ctx, timerInterval) // the loop sees the end of ctx
 		now := time.Now()
 		g.mu.Lock()
 		due := g.registry.Due(now)
@@ -287,15 +288,3 @@
 		g.mu.Unlock()
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
