--- a/cmd/drgate/main.go
+++ b/cmd/drgate/main.go
@@ -83,12 +83,9 @@
 	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	g, err := ingress.New(ingress.Options{
+	g := ingress.New(ingress.Options{
 		Node: node, Settings: s, Protocol: platform.Protocol{}, NewStore: newStore, Log: log,
 	})
-	if err != nil {
-		return err
-	}
 	go func() {
 		<-stop
 		cancel()
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -79,7 +79,7 @@
 }
 
 // New builds an ingress. Nothing listens before Run.
-func New(o Options) (*Ingress, error) {
+func New(o Options) *Ingress {
 	now := time.Now()
 	g := &Ingress{
 		settings: o.Settings, protocol: o.Protocol, newStore: o.NewStore,
@@ -112,7 +112,7 @@
 	base.Handler = g
 	g.peerIn = peer.NewServer(base)
 	g.metrics.publishState(g)
-	return g, nil
+	return g
 }
 
 // setNode takes new settings of the platform into use.
--- a/pkg/ingress/journal.go
+++ b/pkg/ingress/journal.go
@@ -30,6 +30,9 @@
 	return &journal{log: log, perSecond: perSecond, kinds: map[string]*lineBudget{}}
 }
 
+// enabled reports whether lines of a level are written at all.
+func (j *journal) enabled(level hclog.Level) bool { return level >= j.log.GetLevel() }
+
 // line writes a line that is rare by nature: start, stop, reload, a changed
 // belief.
 func (j *journal) line(level hclog.Level, message string, args ...any) {
--- a/pkg/ingress/peers.go
+++ b/pkg/ingress/peers.go
@@ -141,7 +141,7 @@
 
 // beat exchanges one heartbeat with a peer.
 func (g *Ingress) beat(ctx context.Context, l *link, addr string) bool {
-	message := g.syncMessage(l, !l.met)
+	message := g.syncMessage(l.has, !l.met)
 	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	reply, err := g.callPeer(callCtx, addr, message)
@@ -182,19 +182,25 @@
 		return &wire.Response{Error: "unknown call"}
 	}
 	g.takeSync(time.Now(), in)
-	has := map[replica.TableName]uint64{}
-	for _, v := range in.GetHave() {
-		has[replica.TableName(v.GetTable())] = v.GetVersion()
-	}
-	out := g.syncMessage(&link{has: has}, false)
+	// A caller that names no version of a table has none.
+	has := map[replica.TableName]uint64{replica.Operator: 0, replica.Servers: 0}
+	noteVersions(has, in)
+	out := g.syncMessage(has, false)
 	if in.GetIntroduce() {
 		g.introduce(out)
 	}
 	return &wire.Response{Reply: &wire.Response_ReplicaSync{ReplicaSync: out}}
 }
 
-// syncMessage says what this instance has, with the rows that the peer lacks.
-func (g *Ingress) syncMessage(l *link, introduce bool) *wire.ReplicaSync {
+func noteVersions(has map[replica.TableName]uint64, in *wire.ReplicaSync) {
+	for _, v := range in.GetHave() {
+		has[replica.TableName(v.GetTable())] = v.GetVersion()
+	}
+}
+
+// syncMessage says what this instance has, with the rows that a peer lacks. Of a
+// table that has does not name it is not known what the peer has; it gets none.
+func (g *Ingress) syncMessage(has map[replica.TableName]uint64, introduce bool) *wire.ReplicaSync {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -212,11 +218,8 @@
 			continue
 		}
 		out.Have = append(out.Have, &wire.TableVersion{Table: string(name), Version: t.Version()})
-		if l == nil {
-			continue
-		}
-		if has, ok := l.has[name]; (ok || l.member.ID == "") && has < t.Version() {
-			if rows := g.rows.encode(name, t.Since(now, has)); len(rows.Rows) > 0 || rows.Full {
+		if version, ok := has[name]; ok && version < t.Version() {
+			if rows := g.rows.encode(name, t.Since(now, version)); len(rows.Rows) > 0 || rows.Full {
 				out.Rows = append(out.Rows, rows)
 			}
 		}
@@ -248,9 +251,7 @@
 		g.roster.Add(now, decodeMember(m))
 	}
 	if l := g.links[from.ID]; l != nil {
-		for _, v := range in.GetHave() {
-			l.has[replica.TableName(v.GetTable())] = v.GetVersion()
-		}
+		noteVersions(l.has, in)
 	}
 	g.mu.Unlock()
 	if met {
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -33,7 +33,7 @@
 	// routing document yet: reading one takes a few calls of 4 ms.
 	startRetryAfter = 200 * time.Millisecond
 	// retryAfterPart is the part of the remaining time up to which clients
-	// honour a Retry-After.
+	// wait as they are told.
 	retryAfterPart = 3
 )
 
@@ -46,7 +46,6 @@
 	reasonClientBody   = "client_body"
 	reasonRetryBudget  = "retry_budget"
 	reasonAttempts     = "attempts"
-	reasonRegions      = "allowed_regions"
 	reasonTimeout      = "timeout"
 	reasonConnection   = "connection_lost"
 	reasonClientLeft   = "client_left"
@@ -234,7 +233,13 @@
 }
 
 func (g *Ingress) logEnd(r *request, rep reply, took time.Duration) {
-	level, kind := hclog.Info, "end "+rep.outcome+" "+rep.reason
+	level := hclog.Info
+	if rep.answer != nil && rep.answer.Status < http.StatusBadRequest {
+		level = hclog.Debug
+	}
+	if !g.log.enabled(level) {
+		return
+	}
 	args := []any{"request", r.head.ID, "outcome", rep.outcome, "took_ms", took.Milliseconds(), "sends", r.sends}
 	if r.route != nil {
 		args = append(args, "route", r.route.Name, "service", r.service, "document", r.doc.Version, "object", r.head.Object,
@@ -246,9 +251,6 @@
 	}
 	if rep.answer != nil {
 		args = append(args, "status", rep.answer.Status)
-		if rep.answer.Status < http.StatusBadRequest {
-			level = hclog.Debug
-		}
 	} else {
 		args = append(args, "status", rep.status, "reason", rep.reason)
 		if rep.retryAfter > 0 {
@@ -258,5 +260,5 @@
 	if rep.cause != nil {
 		args = append(args, "error", rep.cause)
 	}
-	g.log.limited(kind, level, "request ended", args...)
+	g.log.limited("end "+rep.outcome+" "+rep.reason, level, "request ended", args...)
 }
--- a/pkg/ingress/steer.go
+++ b/pkg/ingress/steer.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/dandelionrack/dandelionrack/pkg/fleet"
 	"github.com/dandelionrack/dandelionrack/pkg/placement"
 	"github.com/dandelionrack/dandelionrack/pkg/upstream"
 )
@@ -46,12 +47,11 @@
 
 // sendResult is what one send has led to.
 type sendResult struct {
-	final   *reply // set if it is the final answer
-	outcome placement.Outcome
-	answer  *upstream.Answer // an answer that another attempt could improve
-	sent    bool             // the request may have arrived
-	ran     bool             // it may have run
-	err     error
+	final  *reply           // set if it is the final answer
+	answer *upstream.Answer // an answer that another attempt could improve
+	sent   bool             // the request may have arrived
+	ran    bool             // it may have run
+	err    error
 }
 
 // send sends the request to one server and classifies what comes back.
@@ -61,13 +61,14 @@
 	if c.Warm {
 		g.metrics.warm.Add(1)
 	}
-	header := r.header.Clone()
-	g.protocol.WriteForward(header, c.Server.ID, time.Until(r.deadline))
+	g.protocol.WriteForward(r.header, c.Server.ID, time.Until(r.deadline))
+	var head fleet.AnswerHead // of the answer that was read last
 	answer, timing, err := g.backends.Do(ctx, upstream.Request{
 		Addr: c.Server.Addr, Method: r.http.Method, Target: r.target, Host: r.http.Host,
-		Header: header, Body: r.body, Idempotent: r.route.Idempotent,
+		Header: r.header, Body: r.body, Idempotent: r.route.Idempotent,
 		Owns: func(resp *http.Response) bool {
-			return g.protocol.ReadAnswer(resp.StatusCode, resp.Header).RequestID == r.head.ID
+			head = g.protocol.ReadAnswer(resp.StatusCode, resp.Header)
+			return head.RequestID == r.head.ID
 		},
 	})
 	if timing.Foreign > 0 {
@@ -76,14 +77,18 @@
 			"request", r.head.ID, "server", c.Server.ID, "answers", timing.Foreign)
 	}
 	result := placement.Result{Connect: timing.Connect, NewConnection: !timing.Reused}
-	res := r.classify(ctx, answer, err, &result)
+	var res sendResult
+	if err != nil {
+		res = r.classifyError(ctx, err, &result)
+	} else {
+		res = classify(answer, head, &result)
+	}
 	if res.sent {
 		r.sends++
 	}
 	if res.ran {
 		r.runs++
 	}
-	res.outcome = result.Outcome
 	g.steering.done(time.Now(), c, result)
 	g.metrics.upstream.Add(outcomeNames[result.Outcome], 1)
 	if res.final == nil || res.final.answer == nil {
@@ -100,11 +105,7 @@
 	placement.Unreachable: "unreachable", placement.Abandoned: "abandoned",
 }
 
-func (r *request) classify(ctx context.Context, answer *upstream.Answer, err error, result *placement.Result) sendResult {
-	if err != nil {
-		return r.classifyError(ctx, err, result)
-	}
-	head := r.g.protocol.ReadAnswer(answer.Status, answer.Header)
+func classify(answer *upstream.Answer, head fleet.AnswerHead, result *placement.Result) sendResult {
 	result.LoadReported, result.Load = head.LoadReported, head.Load
 	switch {
 	case head.OtherServer:
--- a/pkg/ingress/sync.go
+++ b/pkg/ingress/sync.go
@@ -150,7 +150,7 @@
 			continue
 		}
 		servers = append(servers, placement.Server{
-			ID: s.ID, Service: s.Service, Addr: s.Addr, FailureDomain: s.FailureDomain,
+			ID: s.ID, Service: s.Service, Addr: s.Addr,
 			Region: g.node.Load().Regions[s.FailureDomain], Slots: s.Slots, Born: s.Born,
 			ColdUntil: s.ColdUntil, ColdQuota: g.coldQuota(v.Document, bounds, s.BackendServer),
 		})
--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -98,8 +98,7 @@
 	Server
 
 	epoch      uint64
-	inFlight   int
-	flights    []flight
+	flights    []flight // the requests of this instance
 	others     float64
 	othersMean float64
 	othersAt   time.Time
@@ -214,7 +213,7 @@
 		others = s.others*(1-fade) + s.othersMean*fade
 		others *= 1 - float64(age)/float64(OthersLife)
 	}
-	n := s.inFlight + int(others+0.5)
+	n := len(s.flights) + int(others+0.5)
 	if now.Before(s.fullUntil) {
 		n = max(n, int(fullPerSlot*float64(s.Slots)))
 	}
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -55,9 +55,9 @@
 	fits *estimate // the first that meets the objective
 	late *estimate // the earliest of the others that may be used
 	// soonest is the earliest completion anywhere, allowed or not.
-	soonest                time.Duration
-	considered, excluded   int
-	open, openBefore, full int
+	soonest              time.Duration
+	considered, excluded int
+	open, openBefore     int
 }
 
 // visit looks at the servers of one group in order. Only the first few that are
@@ -100,7 +100,6 @@
 		perSlot = copyPerSlot
 	}
 	if float64(e.inFlight) >= perSlot*float64(e.s.Slots) || x.work.measured && e.expected > x.r.UntilDeadline {
-		x.full++
 		return
 	}
 	if x.late == nil || e.expected < x.late.expected {
@@ -119,7 +118,6 @@
 
 func (b *Balancer) take(now time.Time, r Request, e estimate, late bool) Choice {
 	s := e.s
-	s.inFlight++
 	s.flights = append(s.flights, flight{now, e.expected})
 	if now.Before(s.ColdUntil) {
 		s.coldSends = append(s.coldSends, now)
--- a/pkg/placement/learn.go
+++ b/pkg/placement/learn.go
@@ -14,13 +14,11 @@
 	if s == nil || s.epoch != c.epoch {
 		return
 	}
-	s.inFlight--
-	if i := slices.Index(s.flights, flight{c.sentAt, c.Expected}); i >= 0 {
-		s.flights = slices.Delete(s.flights, i, i+1)
-	}
+	i := slices.Index(s.flights, flight{c.sentAt, c.Expected})
+	s.flights = slices.Delete(s.flights, i, i+1)
 	s.probing = false
 	if r.LoadReported {
-		s.others = max(0, float64(r.Load-s.inFlight))
+		s.others = max(0, float64(r.Load-len(s.flights)))
 		s.othersMean += othersWeight * (s.others - s.othersMean)
 		s.othersAt = now
 	}
@@ -55,7 +53,7 @@
 }
 
 // noteConnect learns the round trip to a region. The minimum counts, slowly
-// forgotten, because a busy machine adds to it.
+// forgotten, because a busy entry instance adds to it.
 func (b *Balancer) noteConnect(region string, d time.Duration) {
 	old, ok := b.connects[region]
 	if !ok || d < old {
--- a/pkg/placement/sim_test.go
+++ b/pkg/placement/sim_test.go
@@ -105,7 +105,7 @@
 		for i := range cfg.serversByRegion[region] {
 			id := fmt.Sprintf("%s-%d", region, i)
 			srv := &simServer{
-				Server:    Server{ID: id, Service: "s", Addr: id, Region: region, FailureDomain: region, Slots: cfg.slots},
+				Server:    Server{ID: id, Service: "s", Addr: id, Region: region, Slots: cfg.slots},
 				queueMost: cfg.queue, keeps: cfg.keeps, slow: 1,
 			}
 			s.servers = append(s.servers, srv)
--- a/pkg/placement/status.go
+++ b/pkg/placement/status.go
@@ -24,7 +24,7 @@
 	out := make([]Status, 0, len(b.servers))
 	for _, s := range b.servers {
 		out = append(out, Status{
-			ID: s.ID, Service: s.Service, Slots: s.Slots, InFlight: s.inFlight, Load: s.load(now),
+			ID: s.ID, Service: s.Service, Slots: s.Slots, InFlight: len(s.flights), Load: s.load(now),
 			Speed: s.speedNow(now), Ejected: now.Before(s.ejected), Cold: now.Before(s.ColdUntil), Warm: len(s.warm),
 		})
 	}
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -5,7 +5,8 @@
 //
 // Requests for the same object are much faster at a server that has handled the
 // object recently. The servers of a service are therefore ordered for each
-// object by a rendezvous hash, those of the own region first. All entry
+// object by a rendezvous hash, those of the own region apart. A share of the
+// objects is placed in other regions (spread.go), the rest at home. All entry
 // instances compute the same order from the same registrations, so they keep an
 // object at the same server without asking each other.
 //
@@ -15,8 +16,9 @@
 // requests in flight there, the work, and the round trip. The work depends on
 // whether the server is expected to be warm for the object. The first server in
 // order that is expected to meet the latency objective gets the request. If
-// there is none, the one with the earliest completion gets it, as long as its
-// queue stays within a bound; else the request is refused.
+// there is none, the one with the earliest completion gets it if it has a free
+// slot; else the request is refused. At most two servers of the regions in which
+// the object is placed are looked at, and a few requests may leave these regions.
 //
 // # Load of others
 //
@@ -31,15 +33,14 @@
 const (
 	// ReasonNoServer means that no server of the service may be used.
 	ReasonNoServer = "no_backend_server"
-	// ReasonOverload means that every server's queue is too long.
+	// ReasonOverload means that no server that may be used would answer in
+	// time or has a free slot.
 	ReasonOverload = "overload"
-	// ReasonDeadline means that no server would answer in time.
-	ReasonDeadline = "deadline"
 )
 
 // Server is a backend server that may be chosen.
 type Server struct {
-	ID, Service, Addr, FailureDomain, Region string
+	ID, Service, Addr, Region string
 
 	Slots int
 	// Born tells two runs under one id apart.
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -228,12 +228,10 @@
 		return Event{Kind: ServerInvalid, Key: row.Key, Row: row.Version, Error: err}, true
 	}
 	next := &record{BackendServer: in}
-	event := Event{Kind: ServerCold, Key: row.Key, Row: row.Version}
 	reborn := old == nil || !old.Born.Equal(in.Born) || old.Addr != in.Addr
 	switch {
 	case reborn && r.complete:
 		next.coldUntil = now.Add(max(in.ColdRemaining, r.coldStart(in.Service)))
-		event.Kind = ServerJoined
 	case in.ColdRemaining > 0:
 		next.coldUntil = now.Add(in.ColdRemaining)
 	}
@@ -241,12 +239,18 @@
 		next.coldUntil = later(next.coldUntil, old.coldUntil)
 	}
 	r.servers[row.Key] = next
-	if in.Draining && (old == nil || !old.Draining) {
+	event := Event{Key: row.Key, Row: row.Version, Detail: in.Service + " " + in.FailureDomain}
+	switch {
+	case in.Draining && (old == nil || !old.Draining):
 		event.Kind = ServerDraining
+	case reborn && r.complete:
+		event.Kind = ServerJoined
+	case in.ColdRemaining > 0:
+		event.Kind = ServerCold
+	default:
+		return Event{}, false
 	}
-	changed := event.Kind != ServerCold || in.ColdRemaining > 0
-	event.Detail = in.Service + " " + in.FailureDomain
-	return event, changed
+	return event, true
 }
 
 // markLapses gives removals that may be lapses their grace.
