--- a/pkg/fleet/node.go
+++ b/pkg/fleet/node.go
@@ -47,3 +47,13 @@
 	// serving region from one window to the next.
 	MaxShift float64
 }
+
+// DefaultBounds hold where a platform names no bound: those of the smaller
+// deployments.
+func DefaultBounds() Bounds {
+	return Bounds{
+		Grace: 6 * time.Second, Drain: 2500 * time.Millisecond, ConfigApply: 2500 * time.Millisecond,
+		MaxLookupTTL: 5 * time.Second, RetryWindow: 10 * time.Second, RetryRatio: 0.2,
+		RetryExtra: 50, ColdOver: 1.5, ColdSlack: 5, MaxShift: 0.15,
+	}
+}
