peer, entry: trace two tests that failed beside load

TestShutdownLosesNoCall, "reply lost: EOF". Two causes: - Sessions closed 0.5 s after the last call, whether or not callers were still reading. Sessions now close after 1 s without progress. The server answers the ping before it knows that stream, sees none open and closes. The call was reported as open, although a server that has announced its end handles nothing. The client now notes streams that it opened after the announcement arrived and reports their calls as not sent. TestStreamsOpenedAfterTheEnd.

--- a/pkg/entry/blockstore_test.go
+++ b/pkg/entry/blockstore_test.go
@@ -230,9 +230,12 @@
 	}
 	require.Contains(t, b.setIndex(bad.hash), `block 20.0.0.0/24: "nowhere" is neither`)
 	require.Empty(t, b.setIndex(p.hash))
-	status, err := c.Status(t.Context())
-	require.NoError(t, err)
-	require.Equal(t, operator.BlocksInStore, status.ClientBlocks.Source)
+	// An accepted index comes into force when its table is built, which may be
+	// after the answer.
+	b.until("the index in force", func() bool {
+		status, err := c.Status(t.Context())
+		return err == nil && status.ClientBlocks.Source == operator.BlocksInStore && status.ClientBlocks.Index == p.hash.String()
+	})
 
 	// The deployment cannot drop a target that the blocks in force name.
 	doc, err := c.Document(t.Context())
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -31,7 +31,7 @@
 // exchange is one call on one stream.
 type exchange struct {
 	addr       string
-	session    *yamux.Session
+	session    *clientSession
 	frame      []byte
 	maxStreams int
 	stage      atomic.Int32
@@ -126,8 +126,12 @@
 
 // readFailed treats a stream reset as a rejection: yamux resets a stream when
 // the peer's backlog is full, and otherwise only streamCloseTimeout after the
-// peer closed its side.
+// peer closed its side. So it does a stream that was opened after the peer's
+// announcement of its end.
 func (x *exchange) readFailed(err error, start time.Time) error {
+	if stream := x.stream.Load(); stream != nil && x.session.conn.peer.openedLate(stream.StreamID()) {
+		return notSent(x.addr, errors.Wrap(errRejected, "opened after the peer's end"))
+	}
 	if errors.Is(err, yamux.ErrConnectionReset) && time.Since(start) < streamCloseTimeout {
 		return notSent(x.addr, errors.Wrap(errRejected, "stream reset"))
 	}
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -36,7 +36,7 @@
 	heartbeats atomic.Int64 // open heartbeat streams
 
 	mu       sync.Mutex
-	current  *yamux.Session
+	current  *clientSession
 	opened   time.Time
 	dialing  *dial // nil when no dial is in progress
 	closed   bool
@@ -45,10 +45,16 @@
 	lastErr  error
 }
 
+// clientSession is a dialed session.
+type clientSession struct {
+	*yamux.Session
+	conn *frameConn
+}
+
 // dial is one attempt that all waiting calls share.
 type dial struct {
 	done    chan struct{}
-	session *yamux.Session
+	session *clientSession
 	err     error
 }
 
@@ -57,7 +63,7 @@
 }
 
 // session returns the open session or waits for a dial until ctx ends.
-func (l *link) session(ctx context.Context) (*yamux.Session, error) {
+func (l *link) session(ctx context.Context) (*clientSession, error) {
 	session, d, err := l.currentOrDial(time.Now())
 	if err != nil || session != nil {
 		return session, err
@@ -70,7 +76,7 @@
 	}
 }
 
-func (l *link) currentOrDial(now time.Time) (*yamux.Session, *dial, error) {
+func (l *link) currentOrDial(now time.Time) (*clientSession, *dial, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
@@ -127,7 +133,7 @@
 	close(d.done)
 }
 
-func (l *link) connect() (*yamux.Session, error) {
+func (l *link) connect() (*clientSession, error) {
 	ctx, cancel := context.WithTimeout(l.ctx, l.cfg.DialTimeout)
 	defer cancel()
 	conn, err := l.dialConn(ctx)
@@ -138,16 +144,16 @@
 	if l.key.lane == control {
 		timeout = l.cfg.ControlTimeout
 	}
-	conn = &frameConn{Conn: conn, count: l.cfg.Traffic.lane(l.key.lane)}
+	framed := &frameConn{Conn: conn, count: l.cfg.Traffic.lane(l.key.lane)}
 	y := l.cfg.yamux(timeout)
 	y.EnableKeepAlive = false
-	session, err := yamux.Client(conn, y)
+	session, err := yamux.Client(framed, y)
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
 	go l.keepAlive(session)
-	return session, nil
+	return &clientSession{Session: session, conn: framed}, nil
 }
 
 // Pings per this many intervals of Config.KeepAlive. The sender of a heartbeat
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bufio"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/hashicorp/yamux"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
@@ -367,6 +369,41 @@
 	require.Equal(t, handled.Load(), answered.Load())
 }
 
+// Guards against responses that are lost because their callers, without
+// processor time, read them one by one after the end of a shutdown's grace.
+func TestShutdownWaitsForSlowReaders(t *testing.T) {
+	s := NewServer(Config{Handler: handlerFunc(echo)})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = s.Serve(l) }()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	quiet := yamux.DefaultConfig()
+	quiet.LogOutput = io.Discard
+	session, err := yamux.Client(conn, quiet)
+	require.NoError(t, err)
+	defer session.Close()
+	frame, err := encodeFrame(forward("a", make([]byte, 100)))
+	require.NoError(t, err)
+	streams := make([]*yamux.Stream, 3)
+	for i := range streams {
+		streams[i], err = session.OpenStream()
+		require.NoError(t, err)
+		_, err = streams[i].Write(frame)
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return s.Stats().Calls == int64(len(streams)) }, 5*time.Second, time.Millisecond)
+	ended := make(chan error, 1)
+	go func() { ended <- s.Shutdown(within(t, 20*time.Second)) }()
+	for _, stream := range streams {
+		time.Sleep(closeGrace * 6 / 10)
+		require.NoError(t, readMessage(bufio.NewReader(stream), &wire.Response{}, MaxMessage))
+		require.False(t, session.IsClosed())
+		require.NoError(t, stream.Close())
+	}
+	require.NoError(t, <-ended)
+}
+
 // Guards against TLS settings that are not applied, and against a plain
 // connection that stays open beside TLS.
 func TestTLS(t *testing.T) {
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -12,9 +12,10 @@
 	"github.com/hashicorp/yamux"
 )
 
-// closeGrace is the time that callers get to read their responses before
-// their session is closed.
-const closeGrace = 500 * time.Millisecond
+// closeGrace is the time without progress after which a session is closed
+// although its callers have not read all responses. At a load of 20 on 6 cores
+// 0.5 s in all was too short for ten callers of one session.
+const closeGrace = time.Second
 
 // Stats counts what a server did since its start.
 type Stats struct {
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -175,8 +175,6 @@
 // close waits until the callers have closed their streams, so that no
 // response is lost in a TCP reset, and then closes the connection.
 func (s *serverSession) close(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, closeGrace)
-	defer cancel()
 	// Close also ends sayGoAway, which blocks while the peer is frozen.
 	defer s.mux.Close()
 	told := make(chan struct{})
@@ -188,6 +186,8 @@
 	case <-told:
 	case <-ctx.Done():
 		return
+	case <-time.After(closeGrace):
+		return
 	}
 	s.waitForStreams(ctx)
 }
@@ -202,18 +202,25 @@
 	_, _ = s.mux.Ping()
 }
 
-// waitForStreams waits at least one tick, in which queued resets leave.
+// waitForStreams waits until the callers have closed all streams, as long as
+// they go on closing some. It waits at least one tick, in which queued resets
+// leave.
 func (s *serverSession) waitForStreams(ctx context.Context) {
 	tick := time.NewTicker(5 * time.Millisecond)
 	defer tick.Stop()
+	open, progress := s.mux.NumStreams(), time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 		}
-		if s.mux.NumStreams() == 0 {
+		n := s.mux.NumStreams()
+		if n == 0 || n == open && time.Since(progress) > closeGrace {
 			return
 		}
+		if n != open {
+			open, progress = n, time.Now()
+		}
 	}
 }
--- a/pkg/peer/stream.go
+++ b/pkg/peer/stream.go
@@ -55,7 +55,7 @@
 // concurrent use; the other methods are.
 type HeartbeatStream struct {
 	link     *link
-	session  *yamux.Session
+	session  *clientSession
 	stream   *yamux.Stream
 	from     Config
 	encoder  heartbeat.Encoder
--- a/pkg/peer/stream_test.go
+++ b/pkg/peer/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"testing"
@@ -255,3 +256,37 @@
 		require.Equal(t, want, string(buf[:n]))
 	}
 }
+
+// Guards against a call that ends with an open outcome although its stream was
+// opened after the peer's announcement of its end, which arrived between the
+// check and the opening.
+func TestStreamsOpenedAfterTheEnd(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	frame := func(kind, flags byte, stream byte, body string) string {
+		return string([]byte{0, kind, 0, flags, 0, 0, 0, stream, 0, 0, 0, byte(len(body))}) + body
+	}
+	c := &frameConn{Conn: near, count: &laneTraffic{}}
+	buf := make([]byte, 100)
+	open := func(stream byte) {
+		go func() { _, _ = far.Read(make([]byte, 100)) }()
+		_, err := c.Write([]byte(frame(frameWindow, flagOpen, stream, "")))
+		require.NoError(t, err)
+	}
+	open(3)
+	sent := frame(frameData, 0, 3, "\x00\x03\x00\x00 body like a header") + frame(frameGoAway, 0, 0, "")
+	// In pieces, since a read may end within a header.
+	for _, piece := range []string{sent[:5], sent[5:20], sent[20 : len(sent)-4]} {
+		go func() { _, _ = far.Write([]byte(piece)) }()
+		_, err := io.ReadFull(c, buf[:len(piece)])
+		require.NoError(t, err)
+	}
+	open(5)
+	go func() { _, _ = far.Write([]byte(sent[len(sent)-4:])) }()
+	_, err := io.ReadFull(c, buf[:4])
+	require.NoError(t, err)
+	open(7)
+	for stream, late := range map[uint32]bool{3: false, 5: false, 7: true} {
+		require.Equal(t, late, c.peer.openedLate(stream), "stream %d", stream)
+	}
+}
--- a/pkg/peer/traffic.go
+++ b/pkg/peer/traffic.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net"
+	"sync"
 	"sync/atomic"
 )
 
@@ -52,11 +53,16 @@
 const (
 	frameHeaderSize   = 12
 	frameTypeOffset   = 1
+	frameFlagsOffset  = 2
+	frameStreamOffset = 4
 	frameLengthOffset = 8
 
 	frameData   = 0
 	frameWindow = 1
 	framePing   = 2
+	frameGoAway = 3
+
+	flagOpen = 1
 )
 
 // joinLimit is the largest body that is copied behind its header.
@@ -70,6 +76,71 @@
 	count  *laneTraffic
 	body   int    // bytes of the current frame that are not written yet
 	joined []byte // header that waits for its body
+	peer   peerEnd
+}
+
+// peerEnd knows which streams were opened after the peer has announced its end.
+// yamux looks for the announcement before it opens a stream, but the
+// announcement may arrive in between.
+type peerEnd struct {
+	header []byte // of the frame that is being read
+	skip   int    // bytes of its body that are still to come
+	away   atomic.Bool
+
+	mu   sync.Mutex
+	late map[uint32]bool
+}
+
+// read follows the frames that the peer sends.
+func (e *peerEnd) read(p []byte) {
+	for len(p) > 0 {
+		if e.skip > 0 {
+			n := min(e.skip, len(p))
+			e.skip -= n
+			p = p[n:]
+			continue
+		}
+		n := min(frameHeaderSize-len(e.header), len(p))
+		e.header = append(e.header, p[:n]...)
+		p = p[n:]
+		if len(e.header) < frameHeaderSize {
+			return
+		}
+		switch e.header[frameTypeOffset] {
+		case frameData:
+			e.skip = int(binary.BigEndian.Uint32(e.header[frameLengthOffset:]))
+		case frameGoAway:
+			e.away.Store(true)
+		}
+		e.header = e.header[:0]
+	}
+}
+
+// write takes in the header of a frame that is about to be sent.
+func (e *peerEnd) write(header []byte) {
+	if !e.away.Load() || binary.BigEndian.Uint16(header[frameFlagsOffset:])&flagOpen == 0 || header[frameTypeOffset] == framePing {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.late == nil {
+		e.late = map[uint32]bool{}
+	}
+	e.late[binary.BigEndian.Uint32(header[frameStreamOffset:])] = true
+}
+
+// openedLate reports whether a stream was opened after the announcement. The
+// peer handles no request that comes on it.
+func (e *peerEnd) openedLate(stream uint32) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.late[stream]
+}
+
+func (c *frameConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.peer.read(p[:n])
+	return n, err
 }
 
 func (c *frameConn) Write(p []byte) (int, error) {
@@ -79,6 +150,7 @@
 	case c.body > 0:
 		c.body -= len(p)
 	case len(p) == frameHeaderSize:
+		c.peer.write(p)
 		c.countHeader(p)
 		if c.body > 0 && c.body <= joinLimit {
 			c.joined = append(c.joined, p...)
