--- a/pkg/ingress/peers.go
+++ b/pkg/ingress/peers.go
@@ -36,7 +36,7 @@
 	wake   chan struct{}
 	cancel context.CancelFunc
 	// has is what the peer had at its last message.
-	has map[replica.TableName]uint64
+	has map[replica.TableName]replica.State
 	met bool
 }
 
@@ -64,7 +64,8 @@
 
 // askSeed exchanges one heartbeat with an address of which no member is known.
 func (g *Ingress) askSeed(ctx context.Context, addr string) {
-	message := g.syncMessage(nil, true)
+	message := g.syncMessage(nil, (*replica.Table).Ask)
+	message.Introduce = true
 	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	reply, err := g.callPeer(callCtx, addr, message)
@@ -89,7 +90,7 @@
 			l.cancel()
 		}
 		linkCtx, cancel := context.WithCancel(ctx)
-		l := &link{member: m, wake: make(chan struct{}, 1), cancel: cancel, has: map[replica.TableName]uint64{}}
+		l := &link{member: m, wake: make(chan struct{}, 1), cancel: cancel, has: map[replica.TableName]replica.State{}}
 		g.links[m.ID] = l
 		go g.runLink(linkCtx, l, m.PeerAddr)
 	}
@@ -141,7 +142,8 @@
 
 // beat exchanges one heartbeat with a peer.
 func (g *Ingress) beat(ctx context.Context, l *link, addr string) bool {
-	message := g.syncMessage(l.has, !l.met)
+	message := g.syncMessage(l.has, (*replica.Table).Ask)
+	message.Introduce = !l.met
 	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	reply, err := g.callPeer(callCtx, addr, message)
@@ -182,30 +184,31 @@
 		return &wire.Response{Error: "unknown call"}
 	}
 	g.takeSync(time.Now(), in)
-	// A caller that names no version of a table has none.
-	has := map[replica.TableName]uint64{replica.Operator: 0, replica.Servers: 0}
-	noteVersions(has, in)
-	out := g.syncMessage(has, false)
+	out := g.syncMessage(statesOf(in), func(t *replica.Table, _ time.Time) replica.State { return t.State() })
 	if in.GetIntroduce() {
 		g.introduce(out)
 	}
 	return &wire.Response{Reply: &wire.Response_ReplicaSync{ReplicaSync: out}}
 }
 
-func noteVersions(has map[replica.TableName]uint64, in *wire.ReplicaSync) {
-	for _, v := range in.GetHave() {
-		has[replica.TableName(v.GetTable())] = v.GetVersion()
+// statesOf decodes what the sender has.
+func statesOf(in *wire.ReplicaSync) map[replica.TableName]replica.State {
+	out := make(map[replica.TableName]replica.State, len(in.GetHave()))
+	for _, s := range in.GetHave() {
+		out[replica.TableName(s.GetTable())] = replica.State{Version: s.GetVersion(), Digest: s.GetDigest(), SendAll: s.GetSendAll()}
 	}
+	return out
 }
 
-// syncMessage says what this instance has, with the rows that a peer lacks. Of a
-// table that has does not name it is not known what the peer has; it gets none.
-func (g *Ingress) syncMessage(has map[replica.TableName]uint64, introduce bool) *wire.ReplicaSync {
+// syncMessage says what this instance has, with the rows that a peer lacks. A
+// peer that has not said what it has gets none. Only a call asks for all rows,
+// since a reply would be answered a heartbeat later.
+func (g *Ingress) syncMessage(has map[replica.TableName]replica.State, own func(*replica.Table, time.Time) replica.State) *wire.ReplicaSync {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	status := g.statusLocked(now)
-	out := &wire.ReplicaSync{Member: encodeMember(g.self), Introduce: introduce, FailingServers: g.steering.failing(now)}
+	out := &wire.ReplicaSync{Member: encodeMember(g.self), FailingServers: g.steering.failing(now)}
 	out.Member.State = wireStates[status.State]
 	out.Member.Following = status.Following
 	out.Member.StoreAgeMs = status.StoreAge.Milliseconds()
@@ -214,13 +217,12 @@
 	}
 	for _, name := range []replica.TableName{replica.Operator, replica.Servers} {
 		t := g.tables[name]
-		if !t.Known() {
-			continue
-		}
-		out.Have = append(out.Have, &wire.TableVersion{Table: string(name), Version: t.Version()})
-		if version, ok := has[name]; ok && version < t.Version() {
-			if rows := g.rows.encode(name, t.Since(now, version)); len(rows.Rows) > 0 || rows.Full {
-				out.Rows = append(out.Rows, rows)
+		state := own(t, now)
+		out.Have = append(out.Have, &wire.TableState{Table: string(name), Version: state.Version, Digest: state.Digest, SendAll: state.SendAll})
+		if batch, ok := t.For(now, has[name]); ok {
+			out.Rows = append(out.Rows, g.rows.encode(name, batch))
+			if batch.Full {
+				g.metrics.wholeTables.Add(1)
 			}
 		}
 	}
@@ -250,8 +252,13 @@
 	for _, m := range in.GetKnown() {
 		g.roster.Add(now, decodeMember(m))
 	}
+	has := statesOf(in)
 	if l := g.links[from.ID]; l != nil {
-		noteVersions(l.has, in)
+		clear(l.has)
+		for name, state := range has {
+			state.SendAll = false // answered by the reply
+			l.has[name] = state
+		}
 	}
 	g.mu.Unlock()
 	if met {
@@ -270,6 +277,19 @@
 		}
 		g.merge(now, replica.TableName(rows.GetTable()), batch, "peer "+from.ID)
 	}
+	g.compareTables(now, has)
+}
+
+// compareTables compares the own copies with those of a peer, whose rows have
+// been merged before.
+func (g *Ingress) compareTables(now time.Time, has map[replica.TableName]replica.State) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, state := range has {
+		if t := g.tables[name]; t != nil {
+			t.Heard(now, state)
+		}
+	}
 }
 
 var wireStates = map[roster.State]wire.EntryState{
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -46,8 +46,15 @@
 	rows    map[string]entry
 	version uint64
 	known   bool
-	// pruned is the highest version of a forgotten tombstone.
-	pruned uint64
+	// history is the version after which all removals are known. Before it
+	// lie the version of a snapshot and of the last forgotten tombstone.
+	history uint64
+	// digest is the sum of the digests of all present rows.
+	digest uint64
+	// lagging is when a newer copy with other rows was first heard of; zero if
+	// none was since the version last grew.
+	lagging time.Time
+	asked   asking
 }
 
 // New returns an empty table that is complete up to no version.
@@ -62,37 +69,64 @@
 // Merge takes in a batch and returns the rows that changed, in key order.
 func (t *Table) Merge(now time.Time, b Batch) []Row {
 	var changed []Row
+	// A row that the table was complete without has been removed since. A full
+	// batch that is newer says otherwise, and heals a copy that is wrong.
+	var from uint64
+	if t.known && !(b.Full && b.Version >= t.version) {
+		from = t.version
+	}
 	for _, r := range b.Rows {
-		if t.put(now, r) {
+		if t.put(now, r, from) {
 			changed = append(changed, r)
 		}
 	}
 	if b.Full {
 		changed = append(changed, t.removeAbsent(now, b)...)
+		if b.Version > t.version {
+			t.history = max(t.history, b.Version)
+		}
 	}
 	if b.Full || t.known && b.After <= t.version {
-		t.version = max(t.version, b.Version)
+		t.advance(b.Version)
 		t.known = true
 	}
 	slices.SortFunc(changed, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
 	return changed
 }
 
-func (t *Table) put(now time.Time, r Row) bool {
+func (t *Table) advance(version uint64) {
+	if version > t.version {
+		t.version = version
+		t.lagging = time.Time{}
+	}
+}
+
+// put takes in a row. One of which nothing is known must be newer than a version.
+func (t *Table) put(now time.Time, r Row, from uint64) bool {
 	old, ok := t.rows[r.Key]
 	if ok && old.Version >= r.Version {
 		return false
 	}
-	if !ok && r.Version <= t.pruned {
-		return false // the removal of this row was already forgotten
+	if !ok && r.Version <= from {
+		return false
 	}
+	t.set(now, r)
+	return !r.Removed || ok && !old.Removed
+}
+
+// set replaces a row.
+func (t *Table) set(now time.Time, r Row) {
 	e := entry{Row: r}
+	if old, ok := t.rows[r.Key]; ok && !old.Removed {
+		t.digest -= rowDigest(old.Row)
+	}
 	if r.Removed {
 		e.Value = nil
 		e.removedAt = now
+	} else {
+		t.digest += rowDigest(r)
 	}
 	t.rows[r.Key] = e
-	return !r.Removed || ok && !old.Removed
 }
 
 // removeAbsent removes the rows that a full batch does not hold, unless they
@@ -108,17 +142,22 @@
 			continue
 		}
 		gone := Row{Key: key, Version: b.Version, Removed: true}
-		t.rows[key] = entry{Row: gone, removedAt: now}
+		t.set(now, gone)
 		removed = append(removed, gone)
 	}
 	return removed
 }
 
 // Since returns the changes after a version for another copy. If the removals
-// since then are no longer known, the batch is full.
+// since then are not known, the batch is full.
 func (t *Table) Since(now time.Time, after uint64) Batch {
 	t.prune(now)
-	b := Batch{After: after, Version: t.version, Full: after < t.pruned || after == 0}
+	return t.batch(Batch{After: after, Version: t.version, Full: after < t.history || after == 0}, after)
+}
+
+// batch adds the rows: all present ones if b is full, else those that changed
+// after a version.
+func (t *Table) batch(b Batch, after uint64) Batch {
 	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
 		e := t.rows[key]
 		if b.Full && !e.Removed || !b.Full && e.Version > after {
@@ -132,7 +171,7 @@
 func (t *Table) prune(now time.Time) {
 	for key, e := range t.rows {
 		if e.Removed && now.Sub(e.removedAt) > TombstoneLife {
-			t.pruned = max(t.pruned, e.Version)
+			t.history = max(t.history, e.Version)
 			delete(t.rows, key)
 		}
 	}
--- /dev/null
+++ b/pkg/replica/state_test.go
@@ -0,0 +1,147 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// exchange is one heartbeat between two copies: the caller sends its state, the
+// other answers with its own state and the rows that the caller lacks.
+func exchange(now time.Time, caller, other *Table) (b Batch, sent bool) {
+	state := caller.Ask(now)
+	if b, sent = other.For(now, state); sent {
+		caller.Merge(now, b)
+	}
+	caller.Heard(now, other.State())
+	return b, sent
+}
+
+// Guards against whole tables that go to all peers of an instance that has
+// restarted: its snapshot has a newer version than their copies, because other
+// tables of the store have changed, and the same rows.
+func TestRestartSendsNoWholeTable(t *testing.T) {
+	rows := []Row{row("a", 3), row("b", 5)}
+	restarted := New()
+	restarted.Merge(epoch, Batch{Full: true, Version: 900, Rows: rows})
+	for range 20 {
+		peer := New()
+		peer.Merge(epoch, Batch{Full: true, Version: 5, Rows: rows})
+		b, sent := exchange(epoch, peer, restarted)
+		require.False(t, sent, "%+v", b)
+		require.EqualValues(t, 900, peer.Version(), "it lacks nothing")
+	}
+}
+
+// Guards against a new instance that gets the whole table from each of its peers
+// at once, and against one that asks nobody because its first peers are away.
+func TestNewCopyAsksFewPeers(t *testing.T) {
+	peer := New()
+	peer.Merge(epoch, Batch{Full: true, Version: 9, Rows: []Row{row("a", 3)}})
+	fresh, full := New(), 0
+	for range 30 {
+		if b, sent := peer.For(epoch, fresh.Ask(epoch)); sent && b.Full {
+			full++
+		}
+	}
+	require.Equal(t, askMost, full)
+	_, sent := exchange(epoch.Add(askInterval), fresh, peer)
+	require.True(t, sent)
+	require.True(t, fresh.Known())
+}
+
+// Guards against a removed row that stays in a copy because none of its peers
+// knows of the removal: it must ask for all rows after a heartbeat.
+func TestLaggingCopyAsksForAll(t *testing.T) {
+	old, fresh := New(), New()
+	old.Merge(epoch, Batch{Full: true, Version: 12, Rows: []Row{row("a", 3), row("c", 12)}})
+	fresh.Merge(epoch, Batch{Full: true, Version: 20, Rows: []Row{row("a", 20)}})
+	b, _ := exchange(epoch, old, fresh)
+	require.False(t, b.Full)
+	require.Equal(t, map[string]uint64{"a": 20, "c": 12}, present(old), "known changes arrive at once")
+	b, _ = exchange(epoch.Add(lagLimit), old, fresh)
+	require.True(t, b.Full)
+	require.Equal(t, present(fresh), present(old))
+}
+
+// Guards against a row that came and went between two versions of a copy which
+// lacked nothing: it does not know of the removal, so it must not answer with
+// changes alone.
+func TestDigestIsNoHistory(t *testing.T) {
+	skipped, between, newest := New(), New(), New()
+	skipped.Merge(epoch, Batch{Full: true, Version: 9})
+	between.Merge(epoch, Batch{Full: true, Version: 10, Rows: []Row{row("q", 10)}})
+	newest.Merge(epoch, Batch{Full: true, Version: 12})
+	exchange(epoch, skipped, newest)
+	require.EqualValues(t, 12, skipped.Version())
+	exchange(epoch, between, skipped)
+	require.EqualValues(t, 10, between.Version(), "it is not complete with q")
+	exchange(epoch.Add(lagLimit), between, skipped)
+	require.Empty(t, present(between))
+}
+
+// Guards against copies that stay different: whatever was lost, restarted from a
+// snapshot or heard in part, heartbeats along a ring and one follower of the
+// store make all alike within a few intervals, and no copy goes back.
+func TestHeartbeatsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const copies = 5
+		now, version := epoch, uint64(1)
+		store := New()
+		store.Merge(now, Batch{Full: true, Version: 1})
+		all := make([]*Table, copies)
+		for i := range all {
+			all[i] = New()
+		}
+		snapshot := func() *Table {
+			c := New()
+			b := store.Since(now, 0)
+			c.Merge(now, b)
+			return c
+		}
+		for step := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause ms")) * time.Millisecond)
+			i, j := rapid.IntRange(0, copies-1).Draw(t, "i"), rapid.IntRange(0, copies-1).Draw(t, "j")
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0, 1: // a change in the store
+				version++
+				key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
+				r := row(key, version)
+				if rapid.Bool().Draw(t, "remove") {
+					r = Row{Key: key, Version: version, Removed: true}
+				}
+				store.Merge(now, Batch{After: version - 1, Version: version, Rows: []Row{r}})
+			case 2: // a change in another table
+				version++
+				store.Merge(now, Batch{After: version - 1, Version: version})
+			case 3:
+				all[i] = snapshot()
+			case 4: // the feed
+				all[i].Merge(now, store.Since(now, all[i].Version()))
+			default:
+				before := present(all[i])
+				exchange(now, all[i], all[j])
+				for key, v := range present(all[i]) {
+					require.GreaterOrEqual(t, v, before[key], fmt.Sprintf("step %d: %s went back", step, key))
+				}
+			}
+			var sum uint64
+			all[i].Each(func(r Row) { sum += rowDigest(r) })
+			require.Equal(t, sum, all[i].digest, "digest of the present rows")
+		}
+		for range 3 * copies {
+			now = now.Add(time.Second)
+			all[0].Merge(now, store.Since(now, all[0].Version()))
+			for i := 1; i < copies; i++ {
+				exchange(now, all[i], all[i-1])
+			}
+		}
+		for i, c := range all {
+			require.Equal(t, present(store), present(c), "copy %d at %d, store at %d", i, c.Version(), store.Version())
+			require.Equal(t, store.Version(), c.Version())
+		}
+	})
+}
