--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -7,10 +7,7 @@
 	"io"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"sync"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -59,14 +56,9 @@
 	// authority is nil without TLS.
 	authority *authority
 
-	mu    sync.Mutex
-	procs map[string]*process
-}
-
-type process struct {
-	cmd  *exec.Cmd
-	done chan struct{}
-	err  error
+	// Processes are named "drplatform", "drbackend", "drlink" and by the ids of
+	// the entry instances.
+	*Processes
 }
 
 // startTimeout bounds the start of a process until it answers.
@@ -92,7 +84,7 @@
 	if opts.LookupTTL == 0 {
 		opts.LookupTTL = time.Second
 	}
-	b := &Bed{opts: opts, layout: l, procs: map[string]*process{}}
+	b := &Bed{opts: opts, layout: l, Processes: NewProcesses(opts.Bin, opts.Dir)}
 	if opts.TLS {
 		if b.authority, err = newAuthority(opts.Dir, "authority"); err != nil {
 			b.Close()
@@ -179,8 +171,7 @@
 	return b.startProgram(in.ID, "drentry", s)
 }
 
-// startProgram writes the settings of a process and starts it. Its output goes
-// to a log file in the bed's folder.
+// startProgram writes the settings of a process and starts it.
 func (b *Bed) startProgram(name, program string, settings any) error {
 	data, err := json.MarshalIndent(settings, "", "  ")
 	if err != nil {
@@ -190,84 +181,7 @@
 	if err := os.WriteFile(file, data, 0o600); err != nil {
 		return errors.Wrapf(err, "settings of %s", name)
 	}
-	logFile, err := os.OpenFile(filepath.Join(b.opts.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return errors.Wrapf(err, "log of %s", name)
-	}
-	cmd := exec.Command(filepath.Join(b.opts.Bin, program), "--settings", file)
-	cmd.Stdout, cmd.Stderr = logFile, logFile
-	// The process must not outlive a test that is killed.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
-		_ = logFile.Close()
-		return errors.Wrapf(err, "start %s", name)
-	}
-	p := &process{cmd: cmd, done: make(chan struct{})}
-	go func() {
-		p.err = cmd.Wait()
-		_ = logFile.Close()
-		close(p.done)
-	}()
-	b.mu.Lock()
-	b.procs[name] = p
-	b.mu.Unlock()
-	return nil
-}
-
-func (b *Bed) process(name string) (*process, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	p, ok := b.procs[name]
-	if !ok {
-		return nil, errors.Errorf("no process %q in this bed", name)
-	}
-	return p, nil
-}
-
-// Signal sends a signal to a process: an entry instance by id, or
-// "drplatform", "drbackend", "drlink".
-func (b *Bed) Signal(name string, sig syscall.Signal) error {
-	p, err := b.process(name)
-	if err != nil {
-		return err
-	}
-	if err := p.cmd.Process.Signal(sig); err != nil {
-		return errors.Wrapf(err, "signal %s", name)
-	}
-	return nil
-}
-
-// Kill ends a process at once and waits for its end.
-func (b *Bed) Kill(name string) error {
-	if err := b.Signal(name, syscall.SIGKILL); err != nil {
-		return err
-	}
-	p, err := b.process(name)
-	if err != nil {
-		return err
-	}
-	<-p.done
-	return nil
-}
-
-// Stop asks a process to stop gracefully and returns its error after its end.
-func (b *Bed) Stop(ctx context.Context, name string) error {
-	if err := b.Signal(name, syscall.SIGTERM); err != nil {
-		return err
-	}
-	p, err := b.process(name)
-	if err != nil {
-		return err
-	}
-	select {
-	case <-p.done:
-		if p.err != nil {
-			return errors.Wrap(p.err, name)
-		}
-		return nil
-	case <-ctx.Done():
-		return errors.Wrapf(ctx.Err(), "stop of %s", name)
-	}
+	return b.Start(Program{Name: name, Program: program, Args: []string{"--settings", file}})
 }
 
 // StartEntry starts an entry instance again, as a replacement that knows
@@ -425,18 +339,7 @@
 
 // Close ends all processes of the bed.
 func (b *Bed) Close() {
-	b.mu.Lock()
-	procs := make([]*process, 0, len(b.procs))
-	for _, p := range b.procs {
-		procs = append(procs, p)
-	}
-	b.mu.Unlock()
-	for _, p := range procs {
-		_ = p.cmd.Process.Kill()
-	}
-	for _, p := range procs {
-		<-p.done
-	}
+	b.Processes.Close()
 	_ = b.layout.guard.Close()
 }
 
--- /dev/null
+++ b/internal/testbed/process.go
@@ -0,0 +1,153 @@
+package testbed
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+
+	"github.com/go-faster/errors"
+)
+
+// Processes starts programs and ends them, each by its own process id. Its
+// methods are safe for concurrent use.
+type Processes struct {
+	bin, dir string
+
+	mu    sync.Mutex
+	procs map[string]*process
+}
+
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+// Program is a program to start under a name.
+type Program struct {
+	Name    string
+	Program string // file name in the folder of built programs
+	Args    []string
+	Env     []string // added to the environment
+}
+
+// NewProcesses runs programs of the folder bin. Their output goes to log files
+// in dir.
+func NewProcesses(bin, dir string) *Processes {
+	return &Processes{bin: bin, dir: dir, procs: map[string]*process{}}
+}
+
+// Start starts a program. A former process of the name must have ended.
+func (p *Processes) Start(prog Program) error {
+	logFile, err := os.OpenFile(filepath.Join(p.dir, prog.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrapf(err, "log of %s", prog.Name)
+	}
+	cmd := exec.Command(filepath.Join(p.bin, prog.Program), prog.Args...)
+	cmd.Env = append(os.Environ(), prog.Env...)
+	cmd.Stdout, cmd.Stderr = logFile, logFile
+	// The process must not outlive a test that is killed.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		_ = logFile.Close()
+		return errors.Wrapf(err, "start %s", prog.Name)
+	}
+	proc := &process{cmd: cmd, done: make(chan struct{})}
+	go func() {
+		proc.err = cmd.Wait()
+		_ = logFile.Close()
+		close(proc.done)
+	}()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.procs[prog.Name] = proc
+	return nil
+}
+
+func (p *Processes) process(name string) (*process, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	proc, ok := p.procs[name]
+	if !ok {
+		return nil, errors.Errorf("no process %q was started", name)
+	}
+	return proc, nil
+}
+
+// Signal sends a signal to a process.
+func (p *Processes) Signal(name string, sig syscall.Signal) error {
+	proc, err := p.process(name)
+	if err != nil {
+		return err
+	}
+	if err := proc.cmd.Process.Signal(sig); err != nil {
+		return errors.Wrapf(err, "signal %s", name)
+	}
+	return nil
+}
+
+// Kill ends a process at once and waits for its end.
+func (p *Processes) Kill(name string) error {
+	if err := p.Signal(name, syscall.SIGKILL); err != nil {
+		return err
+	}
+	proc, err := p.process(name)
+	if err != nil {
+		return err
+	}
+	<-proc.done
+	return nil
+}
+
+// Stop asks a process to stop gracefully and returns its error after its end.
+func (p *Processes) Stop(ctx context.Context, name string) error {
+	if err := p.Signal(name, syscall.SIGTERM); err != nil {
+		return err
+	}
+	proc, err := p.process(name)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-proc.done:
+		if proc.err != nil {
+			return errors.Wrap(proc.err, name)
+		}
+		return nil
+	case <-ctx.Done():
+		return errors.Wrapf(ctx.Err(), "stop of %s", name)
+	}
+}
+
+// Running reports whether a process was started and has not ended.
+func (p *Processes) Running(name string) bool {
+	proc, err := p.process(name)
+	if err != nil {
+		return false
+	}
+	select {
+	case <-proc.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Close ends all processes.
+func (p *Processes) Close() {
+	p.mu.Lock()
+	procs := make([]*process, 0, len(p.procs))
+	for _, proc := range p.procs {
+		procs = append(procs, proc)
+	}
+	p.mu.Unlock()
+	for _, proc := range procs {
+		_ = proc.cmd.Process.Kill() // it may have ended
+	}
+	for _, proc := range procs {
+		<-proc.done
+	}
+}
