--- /dev/null
+++ b/cmd/drsoak/main.go
@@ -0,0 +1,103 @@
+// Command drsoak runs entry instances as separate processes, injects faults by
+// a seed and checks what clients and backend servers may rely on.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionrack/dandelionrack/internal/cli"
+	"github.com/dandelionrack/dandelionrack/internal/soak"
+)
+
+const description = "Runs entry instances of the users' platform as separate processes with stand-ins of the store, the backend servers and the clients. " +
+	"Faults are drawn from a seed: processes are killed, stopped, frozen and reloaded; links are cut, silent in one way, slow or reset; the store fails; backend servers crash, misbehave and are replaced.\n\n" +
+	"A seed repeats the faults, not the timing of the processes.\n\n" +
+	"Exit codes: 0 no promise broken, 1 failure, 2 usage."
+
+type commandLine struct {
+	Bin     string           `help:"Folder with the built programs." default:"bin"`
+	Seed    []uint64         `help:"Seeds to play; by default new ones."`
+	Runs    int              `help:"Number of new seeds, if none is given." default:"1"`
+	Faults  time.Duration    `help:"How long faults begin in each run." default:"30s"`
+	Clients int              `help:"Clients that send requests." default:"40"`
+	Verbose bool             `help:"Print each fault."`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+}
+
+func main() {
+	var cl commandLine
+	if _, ok := cli.Parse(&cl, "drsoak", description); !ok {
+		os.Exit(cli.ExitUsage)
+	}
+	ctx, stop := cli.SignalContext()
+	err := run(ctx, cl)
+	stop()
+	if err != nil {
+		os.Exit(cli.Fail("drsoak", err, cli.ExitFailure))
+	}
+}
+
+func run(ctx context.Context, cl commandLine) error {
+	seeds := cl.Seed
+	for range cl.Runs {
+		if len(cl.Seed) == 0 {
+			seeds = append(seeds, rand.Uint64N(1_000_000))
+		}
+	}
+	broken := 0
+	for _, seed := range seeds {
+		bad, err := play(ctx, cl, seed)
+		if err != nil {
+			return err
+		}
+		if bad {
+			broken++
+		}
+	}
+	if broken > 0 {
+		return errors.Errorf("%d of %d runs broke a promise", broken, len(seeds))
+	}
+	return nil
+}
+
+// play reports whether a promise was broken. The logs of such a run are kept.
+func play(ctx context.Context, cl commandLine, seed uint64) (bool, error) {
+	dir, err := os.MkdirTemp("", "drsoak-")
+	if err != nil {
+		return false, errors.Wrap(err, "folder for logs")
+	}
+	faults, err := os.Create(filepath.Join(dir, "faults.txt"))
+	if err != nil {
+		return false, errors.Wrap(err, "list of faults")
+	}
+	defer faults.Close()
+	o := soak.Options{Bin: cl.Bin, Dir: dir, Seed: seed, Faults: cl.Faults, Clients: cl.Clients, Out: faults}
+	if cl.Verbose {
+		o.Out = io.MultiWriter(faults, os.Stdout)
+	}
+	report, err := soak.Run(ctx, o)
+	if err != nil {
+		return false, errors.Wrapf(err, "seed %d, logs in %s", seed, dir)
+	}
+	fmt.Println(report)
+	for _, v := range report.Violations {
+		fmt.Println("  ", v)
+	}
+	if len(report.Violations) > 0 {
+		fmt.Println("   logs:", dir)
+		return true, nil
+	}
+	if err := os.RemoveAll(dir); err != nil {
+		return false, errors.Wrap(err, "remove logs")
+	}
+	return false, nil
+}
--- /dev/null
+++ b/internal/soak/bed.go
@@ -0,0 +1,302 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionrack/dandelionrack/internal/standin/link"
+	"github.com/dandelionrack/dandelionrack/internal/testbed"
+	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/fleet"
+	"github.com/dandelionrack/dandelionrack/pkg/ingress"
+	"github.com/dandelionrack/dandelionrack/platform/standin"
+)
+
+// The deployment: two regions of two failure domains, two services.
+const (
+	host          = "shop.example"
+	movingRoute   = "move"
+	serviceReads  = "reads"
+	serviceWrites = "writes"
+	slots         = 4
+	coldStart     = 2 * time.Second
+	coldPerSecond = 6.0
+	startTimeout  = 15 * time.Second
+	// serverWork is the mean time of a run, and with 3 servers of a service in
+	// a failure domain the load stays near half of the slots.
+	serverWork      = 40 * time.Millisecond
+	serversPerGroup = 3
+	gatesPerDomain  = 2
+	linkDelay       = config.Duration(2 * time.Millisecond) // one way
+)
+
+var domains = map[string]string{"north-a": "north", "north-b": "north", "south-a": "south", "south-b": "south"}
+
+var domainNames = []string{"north-a", "north-b", "south-a", "south-b"}
+
+// gate is an entry instance: a process of its own.
+type gate struct {
+	fleet.Node
+	file      string     // settings of the platform
+	lifecycle sync.Mutex // held while the process is ended and started
+}
+
+// server is a backend server with the link to it.
+type server struct {
+	*standin.Backend
+	domain string
+	entry  fleet.BackendServer
+	link   string // prefix of its link
+	// The fields below are guarded by bed.mu, as entry is.
+	registered bool
+	disturbed  bool
+}
+
+// bed runs the deployment. The store, the backend servers and the links are
+// in this process, the entry instances are processes.
+type bed struct {
+	dir       string
+	processes *testbed.Processes
+	ledger    *Ledger
+	store     *standin.Store
+	links     *link.Proxy
+	gates     []*gate
+
+	http *http.Client
+	all  []*server
+
+	storeFault, evacuation sync.Mutex // one at a time
+
+	mu        sync.Mutex
+	servers   []*server // registered
+	spare     []*server // running and not registered
+	disturbed int       // servers
+	version   uint64
+	moved     bool
+}
+
+func newBed(ctx context.Context, o Options, ledger *Ledger) (*bed, error) {
+	b := &bed{dir: o.Dir, processes: testbed.NewProcesses(o.Bin, o.Dir), ledger: ledger, version: 2, http: newHTTPClient()}
+	var err error
+	if b.store, err = standin.NewStore(); err != nil {
+		return nil, err
+	}
+	if err := b.startServers(); err != nil {
+		b.close()
+		return nil, err
+	}
+	if err := b.makeGates(); err != nil {
+		b.close()
+		return nil, err
+	}
+	if err := b.startLinks(); err != nil {
+		b.close()
+		return nil, err
+	}
+	now := time.Now()
+	b.store.PutDocument(b.document())
+	ledger.Moved(now, serviceReads)
+	for _, s := range b.servers {
+		s.registered = true
+		b.store.Register(s.entry)
+	}
+	if err := b.writeOwnSettings(); err != nil {
+		b.close()
+		return nil, err
+	}
+	for _, g := range b.gates {
+		if err := b.startGate(g); err != nil {
+			b.close()
+			return nil, err
+		}
+	}
+	if err := b.awaitReady(ctx, startTimeout); err != nil {
+		b.close()
+		return nil, err
+	}
+	return b, nil
+}
+
+func newHTTPClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true, IdleConnTimeout: 10 * time.Second}}
+}
+
+// startServers starts all servers, also those that join later.
+func (b *bed) startServers() error {
+	for _, service := range []string{serviceReads, serviceWrites} {
+		for _, domain := range domainNames {
+			for i := range serversPerGroup + 1 {
+				s := &server{domain: domain, Backend: &standin.Backend{
+					ID: fmt.Sprintf("%s-%s-%d", service, domain, i), Service: service, Region: domains[domain],
+					Slots: slots, Work: serverWork, Observe: b.ledger.Ran,
+				}}
+				s.link = "server/" + s.ID + "/"
+				if err := s.Start(); err != nil {
+					return err
+				}
+				b.ledger.Server(s.ID, domain)
+				b.all = append(b.all, s)
+				if i < serversPerGroup {
+					b.servers = append(b.servers, s)
+				} else {
+					b.spare = append(b.spare, s)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func (b *bed) makeGates() error {
+	for d, domain := range domainNames {
+		for i := range gatesPerDomain {
+			g := &gate{Node: fleet.Node{
+				ID: fmt.Sprintf("%s-%d", domain, i), FailureDomain: domain, Region: domains[domain], Regions: domains,
+				Heartbeat: 1500 * time.Millisecond, MaxFiles: 4096, Bounds: b.ledger.bounds,
+			}}
+			for _, into := range []*string{&g.ClientAddr, &g.ReadyAddr, &g.PeerAddr, &g.DirectoryAddr} {
+				addr, err := freeAddr(d, i)
+				if err != nil {
+					return err
+				}
+				*into = addr
+			}
+			b.gates = append(b.gates, g)
+		}
+	}
+	for _, g := range b.gates {
+		for _, seed := range b.gates[:3] {
+			g.Seeds = append(g.Seeds, seed.PeerAddr)
+		}
+	}
+	return nil
+}
+
+// freeAddr returns an address of which outgoing connections of other processes
+// take no port.
+func freeAddr(domain, i int) (string, error) {
+	l, err := net.Listen("tcp", fmt.Sprintf("127.78.%d.%d:0", domain+1, i+1))
+	if err != nil {
+		return "", errors.Wrap(err, "free address")
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// startLinks puts a link before each server, and before the store for each
+// entry instance.
+func (b *bed) startLinks() error {
+	settings := link.DefaultSettings()
+	for _, s := range b.all {
+		settings.Links = append(settings.Links, link.LinkSettings{Name: s.link, Listen: "127.0.0.1:0", Target: s.Addr(), Delay: linkDelay})
+	}
+	for _, g := range b.gates {
+		settings.Links = append(settings.Links, link.LinkSettings{Name: storeLink(g), Listen: "127.0.0.1:0", Target: b.store.Addr()})
+	}
+	var err error
+	if b.links, err = link.Start(settings); err != nil {
+		return err
+	}
+	for _, s := range b.all {
+		s.entry = fleet.BackendServer{
+			ID: s.ID, Service: s.Service, Addr: b.links.Addr(s.link), FailureDomain: s.domain, Slots: slots, Born: time.Now(),
+		}
+	}
+	for _, g := range b.gates {
+		g.StoreAddr = b.links.Addr(storeLink(g))
+	}
+	return nil
+}
+
+func storeLink(g *gate) string { return "store/" + g.ID + "/" }
+
+func (b *bed) document() *fleet.Document {
+	moving := serviceReads
+	if b.moved {
+		moving = serviceWrites
+	}
+	route := func(name, service string, safe bool, regions ...string) fleet.Route {
+		return fleet.Route{
+			Name: name, Host: host, Prefix: "/" + name + "/", Parts: []fleet.Part{{Service: service, Weight: 1}}, Idempotent: safe,
+			Timeout: 1500 * time.Millisecond, TargetLatency: 150 * time.Millisecond, MaxAttempts: 2, Sticky: true, AllowedRegions: regions,
+		}
+	}
+	var services []fleet.Service
+	for _, name := range []string{serviceReads, serviceWrites} {
+		services = append(services, fleet.Service{Name: name, HealthPath: "/health", MaxConnections: 300, ColdStart: coldStart, ColdPerSecond: coldPerSecond})
+	}
+	return fleet.NewDocument(b.version, []fleet.Route{
+		route("read", serviceReads, true), route("pay", serviceWrites, false), route("home", serviceReads, true, "north"),
+		route(movingRoute, moving, false),
+	}, services, fleet.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second})
+}
+
+// moveRoute writes the next document, in which the moving route has the other
+// service.
+func (b *bed) moveRoute() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.version += 3
+	b.moved = !b.moved
+	service := serviceReads
+	if b.moved {
+		service = serviceWrites
+	}
+	b.store.PutDocument(b.document())
+	b.ledger.Moved(time.Now(), service)
+}
+
+func (b *bed) startGate(g *gate) error {
+	g.file = filepath.Join(b.dir, g.ID+".json")
+	if err := os.WriteFile(g.file, standin.NodeFile(g.Node), 0o600); err != nil {
+		return errors.Wrap(err, "settings")
+	}
+	return b.processes.Start(testbed.Program{Name: g.ID, Program: "drgate", Args: []string{"--settings", b.ownSettings(), "--node", g.file}})
+}
+
+func (b *bed) ownSettings() string { return filepath.Join(b.dir, "gate.json") }
+
+// writeOwnSettings writes the settings that all entry instances share.
+func (b *bed) writeOwnSettings() error {
+	s := ingress.DefaultSettings()
+	text := fmt.Sprintf(`{"log_level": %q, "lookup_ttl": %q}`, s.LogLevel, s.LookupTTL.Std())
+	if err := os.WriteFile(b.ownSettings(), []byte(text), 0o600); err != nil {
+		return errors.Wrap(err, "settings")
+	}
+	return nil
+}
+
+// awaitReady waits until all entry instances are ready.
+func (b *bed) awaitReady(ctx context.Context, d time.Duration) error {
+	return testbed.Wait(ctx, d, func() error {
+		for _, g := range b.gates {
+			callCtx, cancel := context.WithTimeout(ctx, time.Second)
+			err := standin.Ready(callCtx, b.http, g.ReadyAddr)
+			cancel()
+			if err != nil {
+				return errors.Wrapf(err, "entry instance %s", g.ID)
+			}
+		}
+		return nil
+	})
+}
+
+func (b *bed) close() {
+	b.processes.Close()
+	if b.links != nil {
+		_ = b.links.Close() // the run is over
+	}
+	for _, s := range b.all {
+		s.Crash()
+	}
+	b.store.Close()
+	b.http.CloseIdleConnections()
+}
