--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 DEPLOYMENT ?= kallitexnis
 
-.PHONY: all build demo test lint generate scenarios bench fuzz clean
+.PHONY: all build demo test lint generate scenarios bench soak fuzz clean
 
 all: build
 
@@ -38,6 +38,12 @@
 scenarios:
 	SCENARIOS=all $(GO) test -count=1 -timeout 20m ./test/scenarios
 
+# Entry instances of the users' platform under faults, with new seeds. SOAK takes
+# flags, such as --seed=7 --verbose.
+SOAK ?= --runs=50
+soak: build
+	./bin/drsoak --bin bin $(SOAK)
+
 # Runs every fuzz target for FUZZTIME; CI runs only their seed corpora.
 FUZZTIME ?= 60s
 fuzz:
