ingress: a server's own failure is delivered, and the same server tried again

Change: the server's answer is delivered; a request that may be repeated goes to the same server again if there is no other, within the retry budget.

--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -76,6 +76,9 @@
 	runs  int // servers that may have run it
 	tried []string
 	last  placement.Choice
+	// answer is one that a server gave, a failure that another server could
+	// have improved.
+	answer *upstream.Answer
 }
 
 // reply is a final answer.
--- a/pkg/ingress/steer.go
+++ b/pkg/ingress/steer.go
@@ -18,7 +18,7 @@
 // again only if it certainly did not run.
 func (r *request) steer(ctx context.Context) reply {
 	for {
-		choice, refusal := r.g.steering.choose(time.Now(), r.search())
+		choice, refusal := r.choose()
 		if refusal != nil {
 			return r.refused(refusal)
 		}
@@ -27,6 +27,9 @@
 			return *res.final
 		}
 		r.tried = append(r.tried, choice.Server.ID)
+		if res.answer != nil {
+			r.answer = res.answer
+		}
 		if stop := r.mayNotRetry(ctx, res); stop != "" {
 			return r.failed(stop, res)
 		}
@@ -34,12 +37,27 @@
 	}
 }
 
+// choose finds a server that was not tried yet. If there is none, one that may
+// have run the request is better than a failure: an answer that got lost once
+// need not be lost again, and the server knows the object now.
+func (r *request) choose() (placement.Choice, *placement.Refusal) {
+	now := time.Now()
+	choice, refusal := r.g.steering.choose(now, r.search(r.tried))
+	if refusal == nil || r.runs == 0 || !r.route.Idempotent {
+		return choice, refusal
+	}
+	if again, refused := r.g.steering.choose(now, r.search(nil)); refused == nil {
+		return again, nil
+	}
+	return choice, refusal
+}
+
 // search describes the request to the balancer.
-func (r *request) search() placement.Request {
+func (r *request) search(exclude []string) placement.Request {
 	objective := r.route.TargetLatency - clientRoundTrip
 	return placement.Request{
 		Service: r.service, Class: r.route.Name, Object: r.object(),
-		AllowedRegions: r.route.AllowedRegions, Exclude: r.tried,
+		AllowedRegions: r.route.AllowedRegions, Exclude: exclude,
 		UntilObjective: time.Until(r.arrived.Add(objective)), UntilDeadline: time.Until(r.deadline), UntilCut: time.Until(r.cutAt),
 		TypicalWork: r.route.TargetLatency,
 	}
@@ -245,8 +263,8 @@
 // failed is the answer if another attempt is not possible.
 func (r *request) failed(reason string, res sendResult) reply {
 	switch {
-	case res.answer != nil:
-		return reply{answer: res.answer, outcome: outcomeAnswered, reason: reason}
+	case r.answer != nil:
+		return reply{answer: r.answer, outcome: outcomeAnswered, reason: reason}
 	case r.runs > 0:
 		return reply{status: http.StatusBadGateway, outcome: outcomeUnknown, reason: reason, cause: res.err}
 	default:
@@ -258,7 +276,10 @@
 func (r *request) refused(f *placement.Refusal) reply {
 	r.g.log.limited("no server "+f.Reason, hclog.Info, "no server chosen", "request", r.head.ID, "service", r.service,
 		"reason", f.Reason, "considered", f.Considered, "excluded", f.Excluded, "tried", len(r.tried))
-	if r.runs > 0 {
+	switch {
+	case r.answer != nil:
+		return reply{answer: r.answer, outcome: outcomeAnswered, reason: f.Reason}
+	case r.runs > 0:
 		return reply{status: http.StatusBadGateway, outcome: outcomeUnknown, reason: f.Reason}
 	}
 	return reply{status: http.StatusServiceUnavailable, outcome: outcomeNotRun, reason: f.Reason, retryAfter: max(f.RetryAfter, minRetryAfter)}
