--- a/cmd/drgate/main.go
+++ b/cmd/drgate/main.go
@@ -66,7 +66,7 @@
 	log := hclog.New(&hclog.LoggerOptions{
 		Name: "drgate", Level: hclog.LevelFromString(s.LogLevel), Output: out, JSONFormat: true,
 	}).With("entry", node.ID)
-	if err := serve(cl.Node, node, s, log); err != nil {
+	if err := serve(cl.Node, node, s, log, out.Dropped.Load); err != nil {
 		log.Error("entry instance failed", "error", err)
 		fmt.Fprintln(os.Stderr, err)
 		return cli.ExitFailure
@@ -74,7 +74,7 @@
 	return cli.ExitOK
 }
 
-func serve(nodeFile string, node fleet.Node, s ingress.Settings, log hclog.Logger) error {
+func serve(nodeFile string, node fleet.Node, s ingress.Settings, log hclog.Logger, droppedLines func() int64) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	// The channels stay registered: a second signal must not end the process
@@ -84,7 +84,7 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	g := ingress.New(ingress.Options{
-		Node: node, Settings: s, Protocol: platform.Protocol{}, NewStore: newStore, Log: log,
+		Node: node, Settings: s, Protocol: platform.Protocol{}, NewStore: newStore, Log: log, DroppedLines: droppedLines,
 	})
 	go func() {
 		<-stop
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"net/http"
 	"sync"
@@ -37,6 +38,9 @@
 	// when a reload changes the address. observe is told about each call.
 	NewStore func(addr string, observe func(call string, took time.Duration, err error)) replica.Store
 	Log      hclog.Logger
+	// DroppedLines counts the lines of the log that a stuck reader cost, if it
+	// is set.
+	DroppedLines func() int64
 }
 
 // Ingress is one entry instance on the platform.
@@ -117,6 +121,9 @@
 	base.Handler = g
 	g.peerIn = peer.NewServer(base)
 	g.metrics.publishState(g)
+	if o.DroppedLines != nil {
+		g.metrics.root.Set("log_lines_dropped", expvar.Func(func() any { return o.DroppedLines() }))
+	}
 	return g
 }
 
--- a/pkg/ingress/peers.go
+++ b/pkg/ingress/peers.go
@@ -43,6 +43,8 @@
 	// has is what the peer had at its last message.
 	has map[replica.TableName]replica.State
 	met bool
+	// lost says that the last call failed, for the log.
+	lost bool
 }
 
 // runPeers keeps one link to every known member, and asks the seeds for
@@ -160,7 +162,7 @@
 	defer cancel()
 	reply, err := g.callPeer(callCtx, addr, message)
 	if err == nil {
-		l.met = true
+		l.met, l.lost = true, false
 		g.takeSync(time.Now(), reply)
 		return true
 	}
@@ -174,7 +176,11 @@
 	if !refused && callCtx.Err() != nil && ctx.Err() == nil {
 		g.peers.Forget(addr) // the connection may have gone silent for good
 	}
-	g.log.limited("peer", hclog.Debug, "peer does not answer", "peer", l.member.ID, "error", err)
+	if l.met && !l.lost && ctx.Err() == nil {
+		g.log.limited("peer", hclog.Info, "peer lost", "peer", l.member.ID, "incarnation", l.member.Incarnation,
+			"failure_domain", l.member.FailureDomain, "refused", refused, "error", err)
+	}
+	l.lost = true
 	return false
 }
 
--- a/pkg/ingress/steer.go
+++ b/pkg/ingress/steer.go
@@ -87,6 +87,9 @@
 	if c.Warm {
 		g.metrics.warm.Add(1)
 	}
+	if time.Now().Before(c.Server.ColdUntil) {
+		g.metrics.cold.Add(1)
+	}
 	g.protocol.WriteForward(r.header, c.Server.ID, time.Until(r.cutAt))
 	x, lingers := r.exchange(ctx, c)
 	if lingers {
--- a/pkg/ingress/steering.go
+++ b/pkg/ingress/steering.go
@@ -122,6 +122,12 @@
 	return out
 }
 
+func (s *steering) farShares() map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.FarShares()
+}
+
 func (s *steering) snapshot(now time.Time) []placement.Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/placement/status.go
+++ b/pkg/placement/status.go
@@ -31,3 +31,13 @@
 	slices.SortFunc(out, func(x, y Status) int { return cmp.Compare(x.ID, y.ID) })
 	return out
 }
+
+// FarShares returns, by service, the share of objects that are placed in other
+// regions.
+func (b *Balancer) FarShares() map[string]float64 {
+	out := make(map[string]float64, len(b.spreads))
+	for service, s := range b.spreads {
+		out[service] = s.share
+	}
+	return out
+}
