roster: machines with the largest links follow the store for their region

A follower sends all changes to its region; machines of one deployment have 10 to 200 Mbit/s. TestLargeLinksFollowTheStore.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -127,4 +127,6 @@
 	Region        string `json:"region"`
 	ClientAddr    string `json:"client_addr"`
 	PeerAddr      string `json:"peer_addr"`
+	// LinkMbps is the capacity of the machine's link; 0 if it is not known.
+	LinkMbps float64 `json:"link_mbps,omitempty"`
 }
--- a/pkg/fleet/node.go
+++ b/pkg/fleet/node.go
@@ -21,6 +21,7 @@
 	// Heartbeat is the interval of the registrations of backend servers.
 	Heartbeat time.Duration
 	MaxFiles  int
+	LinkMbps  float64 // capacity of the machine's link; 0 if it is not known
 	Bounds    Bounds
 }
 
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -94,7 +94,7 @@
 		self: fleet.Member{
 			ID: o.Node.ID, Incarnation: uint64(now.UnixMicro()),
 			FailureDomain: o.Node.FailureDomain, Region: o.Node.Region,
-			ClientAddr: o.Node.ClientAddr, PeerAddr: o.Node.PeerAddr,
+			ClientAddr: o.Node.ClientAddr, PeerAddr: o.Node.PeerAddr, LinkMbps: o.Node.LinkMbps,
 		},
 		log:      newJournal(o.Log, o.Settings.LogLinesPerSecond),
 		metrics:  newMetrics(),
--- a/pkg/ingress/peers.go
+++ b/pkg/ingress/peers.go
@@ -402,13 +402,13 @@
 func encodeMember(m fleet.Member) *wire.ReplicaMember {
 	return &wire.ReplicaMember{
 		Id: m.ID, Incarnation: m.Incarnation, FailureDomain: m.FailureDomain, Region: m.Region,
-		ClientAddr: m.ClientAddr, PeerAddr: m.PeerAddr,
+		ClientAddr: m.ClientAddr, PeerAddr: m.PeerAddr, LinkMbps: m.LinkMbps,
 	}
 }
 
 func decodeMember(m *wire.ReplicaMember) fleet.Member {
 	return fleet.Member{
 		ID: m.GetId(), Incarnation: m.GetIncarnation(), FailureDomain: m.GetFailureDomain(), Region: m.GetRegion(),
-		ClientAddr: m.GetClientAddr(), PeerAddr: m.GetPeerAddr(),
+		ClientAddr: m.GetClientAddr(), PeerAddr: m.GetPeerAddr(), LinkMbps: m.GetLinkMbps(),
 	}
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -223,13 +223,12 @@
 // region. It does until it hears of a follower that comes before it by rank,
 // and begins when it has heard of no follower for some time.
 func (r *Roster) FollowsStore(now time.Time) bool {
-	mine := rendezvous.Weight("store", r.self.ID)
 	for _, m := range r.members {
 		if m.Region != r.self.Region || !m.alive(now) || !m.status.follows() {
 			continue
 		}
 		r.followerAt = now
-		if rendezvous.Weight("store", m.ID) < mine {
+		if followsBefore(m.Member, r.self) {
 			r.following = false
 		}
 	}
@@ -237,7 +236,12 @@
 		r.followerAt = now
 	}
 	if !r.following && r.status.State != Leaving {
-		_, place := r.RegionSize(r.self.Region, "store")
+		place := 0
+		for _, m := range r.members {
+			if m.Region == r.self.Region && followsBefore(m.Member, r.self) {
+				place++
+			}
+		}
 		wait := takeOver + takeOverStep*time.Duration(min(place, lastPlace))
 		if now.Sub(r.followerAt) >= wait {
 			r.following = true
@@ -246,6 +250,16 @@
 	return r.following
 }
 
+// followsBefore orders the members of a region that may follow the store. A
+// follower sends all changes to its region, so those with the largest links
+// come first: machines of one deployment have 10 to 200 Mbit/s.
+func followsBefore(a, b fleet.Member) bool {
+	if a.LinkMbps != b.LinkMbps {
+		return a.LinkMbps > b.LinkMbps
+	}
+	return rendezvous.Weight("store", a.ID) < rendezvous.Weight("store", b.ID)
+}
+
 // Links returns the members that the instance exchanges heartbeats with: all of
 // its failure domain, a few of every other one of its region and fewer of every
 // other region, chosen by rank for this instance. A follower of the store has
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -209,3 +209,22 @@
 	}
 	require.Len(t, places, 8)
 }
+
+// Guards against a follower of the store on a machine of 10 Mbit/s beside
+// machines of 200: it sends all changes to its region.
+func TestLargeLinksFollowTheStore(t *testing.T) {
+	small, large, medium := instance("small", "a", "north"), instance("large", "a", "north"), instance("medium", "b", "north")
+	small.LinkMbps, large.LinkMbps, medium.LinkMbps = 10, 200, 40
+	follows := func(self fleet.Member, others ...fleet.Member) bool {
+		r := New(self)
+		r.SetSelf(ready)
+		for _, m := range others {
+			r.Heard(epoch, m, Status{State: Ready, Following: true})
+		}
+		return r.FollowsStore(epoch)
+	}
+	require.True(t, follows(large, small, medium))
+	require.False(t, follows(small, large, medium))
+	require.False(t, follows(medium, large, small))
+	require.True(t, follows(medium, small))
+}
