ingress: an instance that knows few others sends little to cold servers

After a restart of all instances while the store was away, each knew few or none: the table of members cannot be read then, and the seeds were asked once, when they had not started yet.

Change: until the table of members was read, an instance sends at most one request in 1.1 s to a cold server, and asks the seeds again each second.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -70,6 +70,7 @@
 	introduced time.Time
 	started    time.Time // never changed
 
+	membersRead    atomic.Bool  // the table of members was read
 	membersChanged atomic.Bool  // the views that depend on members are old
 	storeAnswered  atomic.Int64 // Unix nanoseconds; 0: never
 	document       atomic.Pointer[fleet.Document]
--- a/pkg/ingress/peers.go
+++ b/pkg/ingress/peers.go
@@ -50,11 +50,7 @@
 // runPeers keeps one link to every known member, and asks the seeds for
 // members at the start.
 func (g *Ingress) runPeers(ctx context.Context) {
-	for _, addr := range g.node.Load().Seeds {
-		if addr != g.self.PeerAddr {
-			go g.askSeed(ctx, addr)
-		}
-	}
+	go g.runSeeds(ctx)
 	ticker := time.NewTicker(followCheck)
 	defer ticker.Stop()
 	// If the store has not answered by then, peers are asked for their tables.
@@ -71,6 +67,21 @@
 	}
 }
 
+// runSeeds asks the seeds for members, again until the members were read from the
+// store: after a restart of all, the seeds may start later.
+func (g *Ingress) runSeeds(ctx context.Context) {
+	for {
+		for _, addr := range g.node.Load().Seeds {
+			if addr != g.self.PeerAddr {
+				go g.askSeed(ctx, addr)
+			}
+		}
+		if wait.Sleep(ctx, introduceInterval) != nil || g.membersRead.Load() {
+			return
+		}
+	}
+}
+
 // askSeed exchanges one heartbeat with an address of which no member is known.
 func (g *Ingress) askSeed(ctx context.Context, addr string) {
 	message := g.callMessage(&link{})
--- a/pkg/ingress/sync.go
+++ b/pkg/ingress/sync.go
@@ -183,6 +183,10 @@
 	total := int((rate*b.ColdOver + b.ColdSlack) * coldHeadroom)
 	size, place := g.roster.RegionSize(g.node.Load().Regions[s.FailureDomain], s.ID)
 	switch {
+	case !g.membersRead.Load():
+		// The instance may know few of the others, as after a restart of all
+		// while the store was away.
+		return min(1, total)
 	case place < 0 && size > 0:
 		return 0
 	case place < 0:
@@ -262,6 +266,7 @@
 		g.roster.Add(now, m)
 	}
 	g.mu.Unlock()
+	g.membersRead.Store(true)
 	g.refresh(now)
 	g.pushNow()
 	return nil
