--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -19,7 +19,7 @@
 	root *expvar.Map
 
 	requests, lookups, connections, retries, retriesDenied expvar.Int
-	warm, foreignAnswers, wholeTables, lingered, cold      expvar.Int
+	warm, foreignAnswers, wholeTables, cold                expvar.Int
 	outcomes, refusals, upstream, storeCalls               expvar.Map
 
 	mu        sync.Mutex
@@ -37,7 +37,7 @@
 	for name, v := range map[string]expvar.Var{
 		"requests": &m.requests, "lookups": &m.lookups, "backend_connections_opened": &m.connections,
 		"retries": &m.retries, "retries_denied": &m.retriesDenied, "expected_warm": &m.warm,
-		"foreign_answers": &m.foreignAnswers, "whole_tables_sent": &m.wholeTables, "lingered_runs": &m.lingered, "sends_to_cold_servers": &m.cold,
+		"foreign_answers": &m.foreignAnswers, "whole_tables_sent": &m.wholeTables, "sends_to_cold_servers": &m.cold,
 		"outcomes": m.outcomes.Init(), "refusals": m.refusals.Init(),
 		"upstream_results": m.upstream.Init(), "store_calls": m.storeCalls.Init(),
 	} {
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -70,7 +70,6 @@
 	body     []byte
 	arrived  time.Time
 	deadline time.Time
-	cutAt    time.Time // when the work of a server is cut off; not before deadline
 
 	sends int // requests that left for a server
 	runs  int // servers that may have run it
@@ -133,11 +132,6 @@
 		limit = defaultTimeout
 	}
 	r.deadline = r.arrived.Add(limit)
-	r.cutAt = r.deadline
-	if r.route.Idempotent && r.object() != "" && r.head.TimeLeft > limit {
-		// The route's timeout is shorter than the client's time.
-		r.cutAt = r.arrived.Add(min(limit+placement.Linger, r.head.TimeLeft))
-	}
 }
 
 // context ends at the deadline. It also ends when the client leaves, unless the
--- a/pkg/ingress/steer.go
+++ b/pkg/ingress/steer.go
@@ -58,7 +58,7 @@
 	return placement.Request{
 		Service: r.service, Class: r.route.Name, Object: r.object(),
 		AllowedRegions: r.route.AllowedRegions, Exclude: exclude,
-		UntilObjective: time.Until(r.arrived.Add(objective)), UntilDeadline: time.Until(r.deadline), UntilCut: time.Until(r.cutAt),
+		UntilObjective: time.Until(r.arrived.Add(objective)), UntilDeadline: time.Until(r.deadline),
 		TypicalWork: r.route.TargetLatency,
 	}
 }
@@ -90,13 +90,8 @@
 	if time.Now().Before(c.Server.ColdUntil) {
 		g.metrics.cold.Add(1)
 	}
-	g.protocol.WriteForward(r.header, c.Server.ID, time.Until(r.cutAt))
-	x, lingers := r.exchange(ctx, c)
-	if lingers {
-		r.sends++
-		r.runs++
-		return sendResult{sent: true, ran: true, final: r.timedOut(true)}
-	}
+	g.protocol.WriteForward(r.header, c.Server.ID, time.Until(r.deadline))
+	x := r.do(ctx, c)
 	result := placement.Result{Connect: x.timing.Connect, NewConnection: !x.timing.Reused}
 	var res sendResult
 	if x.err != nil {
@@ -110,7 +105,8 @@
 	if res.ran {
 		r.runs++
 	}
-	g.ended(c, result)
+	g.steering.done(time.Now(), c, result)
+	g.metrics.upstream.Add(outcomeNames[result.Outcome], 1)
 	if res.final == nil || res.final.answer == nil {
 		g.log.limited("send "+outcomeNames[result.Outcome], hclog.Info, "send failed",
 			"request", r.head.ID, "server", c.Server.ID, "outcome", outcomeNames[result.Outcome], "sends", r.sends,
@@ -119,55 +115,6 @@
 	return res
 }
 
-// ended records what a send has come to.
-func (g *Ingress) ended(c placement.Choice, result placement.Result) {
-	g.steering.done(time.Now(), c, result)
-	g.metrics.upstream.Add(outcomeNames[result.Outcome], 1)
-}
-
-// exchange sends the request and waits for the answer. If the server may go on
-// after the deadline, so that it knows the object then, it returns at the
-// deadline and reports that the exchange lingers.
-func (r *request) exchange(ctx context.Context, c placement.Choice) (exchanged, bool) {
-	if !r.cutAt.After(r.deadline) {
-		return r.do(ctx, c), false
-	}
-	runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.cutAt)
-	stop := context.AfterFunc(r.http.Context(), cancel) // the client has left
-	done := make(chan exchanged, 1)
-	go func() { done <- r.do(runCtx, c) }()
-	select {
-	case x := <-done:
-		stop()
-		cancel()
-		return x, false
-	case <-ctx.Done():
-	}
-	if !stop() {
-		x := <-done // cut off, because the client has left
-		cancel()
-		return x, false
-	}
-	id := r.head.ID
-	go func() {
-		defer cancel()
-		r.g.lingered(id, c, <-done)
-	}()
-	return exchanged{}, true
-}
-
-// lingered records the end of a run that went on after the final answer.
-func (g *Ingress) lingered(id string, c placement.Choice, x exchanged) {
-	result := placement.Result{Connect: x.timing.Connect, NewConnection: !x.timing.Reused, Outcome: placement.Abandoned}
-	if x.err == nil {
-		classify(x.answer, x.head, &result)
-		g.metrics.lingered.Add(1)
-	}
-	g.ended(c, result)
-	g.log.limited("lingered", hclog.Info, "a run went on after the deadline, for later requests of the object",
-		"request", id, "server", c.Server.ID, "outcome", outcomeNames[result.Outcome], "expected_ms", c.Expected.Milliseconds(), "error", x.err)
-}
-
 // do sends the request to one server.
 func (r *request) do(ctx context.Context, c placement.Choice) exchanged {
 	g := r.g
--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -16,9 +16,8 @@
 	// copy costs three times the work of a warm answer, so it is made only
 	// where most slots are free. With 1.0 late copies took all slots at 1.5
 	// times the capacity, and 0.29 instead of 0.67 met the objective
-	// (TestOverloadKeepsGoodput). 0.3 is better than 0.5 in all of
-	// BenchmarkPatterns since servers there know an object at the end of its
-	// run only, as on the sites.
+	// (TestOverloadKeepsGoodput). 0.3 is better than 0.5 in all but one of
+	// BenchmarkPatterns, and there it is equal.
 	copyPerSlot = 0.3
 	// fullPerSlot is the load per slot that is assumed of a server that has
 	// just shed a request.
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -99,7 +99,7 @@
 	if !e.warm && !e.home {
 		perSlot = copyPerSlot
 	}
-	if float64(e.inFlight) >= perSlot*float64(e.s.Slots) || x.work.measured && e.expected > max(x.r.UntilDeadline, x.r.UntilCut) {
+	if float64(e.inFlight) >= perSlot*float64(e.s.Slots) || x.work.measured && e.expected > x.r.UntilDeadline {
 		return
 	}
 	if x.late == nil || e.expected < x.late.expected {
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -51,14 +51,6 @@
 	ColdQuota int
 }
 
-// Linger is how long after the deadline of a request its run may go on, so that
-// the server knows the object for the next one. Runs that are cut leave nothing
-// behind: where the deadline is near the time of a cold answer, a server got the
-// same object again and again and cut it each time (15 % of the requests of one
-// route on kallitexnis-edge-grown). It covers the spread of the work there
-// (15 %), and stays below the 0.5 s that a server may go on after its client.
-const Linger = 400 * time.Millisecond
-
 // Request is the search for one server.
 type Request struct {
 	Service string
@@ -71,10 +63,6 @@
 	Exclude []string
 	// UntilObjective and UntilDeadline are the times that are left.
 	UntilObjective, UntilDeadline time.Duration
-	// UntilCut is when the server's work is cut off. If it is later than the
-	// deadline, work that is done in between is not lost: the server knows the
-	// object then.
-	UntilCut time.Duration
 	// TypicalWork is a first estimate of the work for a class that was never
 	// seen.
 	TypicalWork time.Duration
