--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -175,7 +175,7 @@
 	}
 }
 
-// linkFaults are the faults of a link: silence in one way or both, a cut, a
+// linkFault returns one of the faults of a link: silence in one way or both, a cut, a
 // delay, a reset in the middle of bytes.
 func linkFault(choice int) func(*link.State) {
 	return func(s *link.State) {
@@ -344,7 +344,6 @@
 		}
 	}
 	b.mu.Unlock()
-	old.Drain()
 	b.ledger.Left(now, old.ID)
 	_ = wait.Sleep(context.WithoutCancel(ctx), b.ledger.bounds.Drain+s.lasts) // it never ends early
 	b.ledger.Disturb(time.Now(), "server", old.ID, true)
@@ -360,7 +359,7 @@
 		return
 	}
 	defer b.give(one)
-	modes := []standin.Mode{{Slowness: 6}, {CutShare: 0.3}, {SpoilRate: 0.3}, {ForgetAll: true}, {LateExtra: 0.5}}
+	modes := []standin.Mode{{Slowness: 6}, {CutShare: 0.3}, {SpoilShare: 0.3}, {ForgetAll: true}, {LateExtra: 0.5}}
 	one.SetMode(modes[s.choice%len(modes)])
 	_ = wait.Sleep(ctx, s.lasts) // an early end is fine
 	one.SetMode(standin.Mode{})
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -71,7 +71,6 @@
 	standin.Request
 	route   *fleet.Route
 	gate    string
-	region  string
 	at      time.Time
 	sum     string
 	runs    int
@@ -84,19 +83,16 @@
 // span is a time during which something is disturbed.
 type span struct{ from, to time.Time }
 
-// calm tells whether something was undisturbed.
+// calm knows the disturbances of something.
 type calm struct {
-	active int
-	spans  []span
+	spans []span
 }
 
 func (c *calm) begin(now time.Time) {
-	c.active++
 	c.spans = append(c.spans, span{from: now})
 }
 
 func (c *calm) end(now time.Time) {
-	c.active--
 	for i := range c.spans {
 		if c.spans[i].to.IsZero() {
 			c.spans[i].to = now
@@ -299,7 +295,7 @@
 	}
 	s.arrived++
 	l.arrivals[r.Service] = append(l.arrivals[r.Service], arrival{r.At, s.arrived > 1})
-	if r.RejectedNotToRun {
+	if r.Rejected {
 		return
 	}
 	s.runs++
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -53,9 +53,9 @@
 		}},
 		{"unsafe rejected, then run", "", func(l *Ledger) {
 			_, r := request(l, "1", unsafe, 10)
-			r.RejectedNotToRun = true
+			r.Rejected = true
 			l.Ran(r)
-			r.RejectedNotToRun = false
+			r.Rejected = false
 			l.Ran(r)
 		}},
 		{"refused and has run", NotRunIsTrue, func(l *Ledger) {
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -121,7 +121,7 @@
 			ID: fmt.Sprintf("c%d-%d", c.number, c.count), Host: host, Method: http.MethodPost, TimeLeft: clientTime,
 			Target: route.Prefix + fmt.Sprintf("item?n=%d", c.count), Object: fmt.Sprint(c.random.IntN(objects)),
 		},
-		route: route, gate: g.ID, region: domains[c.domain], at: time.Now(),
+		route: route, gate: g.ID, at: time.Now(),
 	}
 	s.Body = fmt.Sprintf("%s %0*d", s.ID, c.random.IntN(clientBytes)+1, 0)
 	sum := sha256.Sum256([]byte(s.Body))
--- /dev/null
+++ b/pkg/ingress/messages.go
@@ -0,0 +1,109 @@
+package ingress
+
+import (
+	"time"
+
+	"github.com/dandelionrack/dandelionrack/pkg/fleet"
+	"github.com/dandelionrack/dandelionrack/pkg/replica"
+	"github.com/dandelionrack/dandelionrack/pkg/roster"
+	"github.com/dandelionrack/dandelionrack/pkg/wire"
+)
+
+// statesOf decodes what the sender has.
+func statesOf(in *wire.ReplicaSync) map[replica.TableName]replica.State {
+	out := make(map[replica.TableName]replica.State, len(in.GetHave()))
+	for _, s := range in.GetHave() {
+		out[replica.TableName(s.GetTable())] = replica.State{Version: s.GetVersion(), Digest: s.GetDigest(), Ask: replica.Ask(s.GetAsk())}
+	}
+	return out
+}
+
+func encodeState(name replica.TableName, s replica.State) *wire.TableState {
+	return &wire.TableState{Table: string(name), Version: s.Version, Digest: s.Digest, Ask: wire.TableAsk(s.Ask)}
+}
+
+// callMessage says what this instance has and what it asks of the peer. A
+// follower of the store sends its region the rows that the peer lacks.
+func (g *Ingress) callMessage(l *link) *wire.ReplicaSync {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := g.statusMessageLocked(now)
+	push := g.following.Load() && l.member.Region == g.self.Region
+	for _, name := range copiedTables {
+		t := g.tables[name]
+		peer := l.has[name]
+		out.Have = append(out.Have, encodeState(name, t.Ask(now, peer)))
+		if batch, ok := t.Push(now, peer); ok && push {
+			g.addRows(out, name, batch)
+		}
+	}
+	return out
+}
+
+// replyMessage says what this instance has, with the rows that the caller asks
+// for.
+func (g *Ingress) replyMessage(has map[replica.TableName]replica.State) *wire.ReplicaSync {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := g.statusMessageLocked(now)
+	for _, name := range copiedTables {
+		t := g.tables[name]
+		out.Have = append(out.Have, encodeState(name, t.State()))
+		if batch, ok := t.Answer(now, has[name]); ok {
+			g.addRows(out, name, batch)
+		}
+	}
+	return out
+}
+
+var copiedTables = []replica.TableName{replica.Operator, replica.Servers}
+
+func (g *Ingress) addRows(out *wire.ReplicaSync, name replica.TableName, batch replica.Batch) {
+	out.Rows = append(out.Rows, g.rows.encode(name, batch))
+	if batch.Full {
+		g.metrics.wholeTables.Add(1)
+	}
+}
+
+func (g *Ingress) statusMessageLocked(now time.Time) *wire.ReplicaSync {
+	status := g.statusLocked(now)
+	out := &wire.ReplicaSync{Member: encodeMember(g.self), FailingServers: g.steering.failing(now)}
+	out.Member.State = wireStates[status.State]
+	out.Member.Following = status.Following
+	out.Member.StoreAgeMs = status.StoreAge.Milliseconds()
+	if status.StoreAge < 0 {
+		out.Member.StoreAgeMs = -1
+	}
+	return out
+}
+
+func (g *Ingress) introduce(out *wire.ReplicaSync) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.roster.Peers(now) {
+		out.Known = append(out.Known, encodeMember(m))
+	}
+}
+
+var wireStates = map[roster.State]wire.EntryState{
+	roster.NotReady: wire.EntryState_ENTRY_STATE_NOT_READY,
+	roster.Ready:    wire.EntryState_ENTRY_STATE_READY,
+	roster.Leaving:  wire.EntryState_ENTRY_STATE_LEAVING,
+}
+
+func encodeMember(m fleet.Member) *wire.ReplicaMember {
+	return &wire.ReplicaMember{
+		Id: m.ID, Incarnation: m.Incarnation, FailureDomain: m.FailureDomain, Region: m.Region,
+		ClientAddr: m.ClientAddr, PeerAddr: m.PeerAddr, LinkMbps: m.LinkMbps,
+	}
+}
+
+func decodeMember(m *wire.ReplicaMember) fleet.Member {
+	return fleet.Member{
+		ID: m.GetId(), Incarnation: m.GetIncarnation(), FailureDomain: m.GetFailureDomain(), Region: m.GetRegion(),
+		ClientAddr: m.GetClientAddr(), PeerAddr: m.GetPeerAddr(), LinkMbps: m.GetLinkMbps(),
+	}
+}
