soak: beds side by side use addresses of their own; a finding listed

Two of five soaks that ran side by side did not start: each had picked a port that another one took before its entry instance listened.

--- a/internal/soak/bed.go
+++ b/internal/soak/bed.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -155,7 +156,11 @@
 	return nil
 }
 
+// beds counts the beds of this process.
+var beds atomic.Int32
+
 func (b *bed) makeGates() error {
+	number := int(beds.Add(1))
 	for d, domain := range domainNames {
 		for i := range gatesPerDomain {
 			g := &gate{Node: fleet.Node{
@@ -163,7 +168,7 @@
 				Heartbeat: 1500 * time.Millisecond, MaxFiles: 4096, Bounds: b.ledger.bounds,
 			}}
 			for _, into := range []*string{&g.ClientAddr, &g.ReadyAddr, &g.PeerAddr, &g.DirectoryAddr} {
-				addr, err := freeAddr(d, i)
+				addr, err := freeAddr(number, d, i)
 				if err != nil {
 					return err
 				}
@@ -180,10 +185,12 @@
 	return nil
 }
 
-// freeAddr returns an address of which outgoing connections of other processes
-// take no port.
-func freeAddr(domain, i int) (string, error) {
-	l, err := net.Listen("tcp", fmt.Sprintf("127.78.%d.%d:0", domain+1, i+1))
+// freeAddr returns an address of which outgoing connections and other beds take
+// no port.
+func freeAddr(bed, domain, i int) (string, error) {
+	const networks = 180 // of 127.64.0.0 and the following
+	network := 64 + (os.Getpid()+bed)%networks
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", network, domain+1, i+1))
 	if err != nil {
 		return "", errors.Wrap(err, "free address")
 	}
