--- a/cmd/drctl/session.go
+++ b/cmd/drctl/session.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/findings"
 	"github.com/dandelionrack/dandelionrack/pkg/operator"
@@ -121,14 +122,7 @@
 }
 
 func (s *session) pause(d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-s.ctx.Done():
-		return s.ctx.Err()
-	case <-timer.C:
-		return nil
-	}
+	return wait.Sleep(s.ctx, d)
 }
 
 func (s *session) document() (*config.Document, error) {
--- a/internal/bench/sample.go
+++ b/internal/bench/sample.go
@@ -16,6 +16,7 @@
 	linkstandin "github.com/dandelionrack/dandelionrack/internal/standin/link"
 	platformstandin "github.com/dandelionrack/dandelionrack/internal/standin/platform"
 	"github.com/dandelionrack/dandelionrack/internal/testbed"
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 )
 
@@ -127,14 +128,7 @@
 }
 
 func sleepUntil(ctx context.Context, at time.Time) error {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
+	return wait.Sleep(ctx, time.Until(at))
 }
 
 // addCounters fills in what changed between two snapshots.
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 	"github.com/dandelionrack/dandelionrack/pkg/fleet"
 	"github.com/dandelionrack/dandelionrack/platform/standin"
 )
@@ -53,11 +54,7 @@
 		if len(c.addrs) > 0 {
 			c.request(ctx, c.addrs[c.random.IntN(len(c.addrs))])
 		}
-		pause := time.Duration(c.random.Int64N(int64(maxPause)))
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		_ = wait.Sleep(ctx, time.Duration(c.random.Int64N(int64(maxPause)))) // the loop sees the end
 	}
 }
 
--- a/pkg/claim/bench_test.go
+++ b/pkg/claim/bench_test.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 	"github.com/dandelionrack/dandelionrack/pkg/platform"
 )
 
@@ -26,7 +27,7 @@
 
 func benchmarkCommit(b *testing.B, rtt time.Duration, group int) {
 	table := newFakeTable()
-	table.behave(func(ctx context.Context) error { return sleep(ctx, rtt) })
+	table.behave(func(ctx context.Context) error { return wait.Sleep(ctx, rtt) })
 	m := NewManager(Config{Table: table, MaxGroup: group, Entries: func() int { return 11 }})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -64,7 +65,7 @@
 type discardTable struct{ platform.Table }
 
 func (discardTable) Commit(ctx context.Context, _ platform.Tx) error {
-	return sleep(ctx, 2*time.Millisecond)
+	return wait.Sleep(ctx, 2*time.Millisecond)
 }
 
 // BenchmarkIssuedKeys measures one of eight entries that serves entry-issued
--- a/pkg/claim/committer_test.go
+++ b/pkg/claim/committer_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 )
 
 // Guards against a commit that ends with its context and counts as "nothing
@@ -15,7 +17,7 @@
 	table := newFakeTable()
 	inBubble(t, table, Config{}, func(t *testing.T, m *Manager) {
 		table.mu.Lock()
-		table.after = func(ctx context.Context) error { return sleep(ctx, time.Hour) }
+		table.after = func(ctx context.Context) error { return wait.Sleep(ctx, time.Hour) }
 		table.mu.Unlock()
 		k := callerKey(time.Now())
 		d := begin(m, k, 2*time.Second)
--- a/pkg/claim/fake_test.go
+++ b/pkg/claim/fake_test.go
@@ -159,14 +159,3 @@
 func idOf(k Key) ID { return ID{Customer: "sarafu", Service: "weka", Key: k.Raw} }
 
 var testFP = FingerprintOf("POST", "/credit", []byte("bag 1"))
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/pkg/claim/latency_test.go
+++ b/pkg/claim/latency_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 )
 
 // Sizes of the latency model: the store of another region and a short run of
@@ -41,7 +43,7 @@
 func modelLatency(t *testing.T, perSecond float64) *modelFigures {
 	f := &modelFigures{}
 	table := newFakeTable()
-	table.before = func(ctx context.Context) error { return sleep(ctx, modelRoundTrip/2) }
+	table.before = func(ctx context.Context) error { return wait.Sleep(ctx, modelRoundTrip/2) }
 	table.after = table.before
 	synctest.Test(t, func(t *testing.T) {
 		m := NewManager(Config{Self: Incarnation{"entry-1", 7}, Table: table, Entries: func() int { return 11 }})
--- a/pkg/claim/manager_test.go
+++ b/pkg/claim/manager_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 	"github.com/dandelionrack/dandelionrack/pkg/platform"
 )
 
@@ -64,7 +65,7 @@
 func (f *flights) Commit(ctx context.Context, tx platform.Tx) error {
 	f.enter(tx)
 	defer f.leave(tx)
-	if err := sleep(ctx, f.rtt); err != nil {
+	if err := wait.Sleep(ctx, f.rtt); err != nil {
 		return err
 	}
 	return f.fakeTable.Commit(ctx, tx)
@@ -190,7 +191,7 @@
 		healthy := time.Now().Add(300 * time.Millisecond)
 		table.behave(func(ctx context.Context) error {
 			if time.Now().Before(healthy) {
-				_ = sleep(ctx, time.Until(healthy))
+				_ = wait.Sleep(ctx, time.Until(healthy))
 				return platform.ErrUnknownOutcome
 			}
 			return nil
@@ -211,7 +212,7 @@
 	for name, down := range map[string]func(context.Context) error{
 		"refused": func(context.Context) error { return platform.ErrUnavailable },
 		"lost":    func(context.Context) error { return platform.ErrUnknownOutcome },
-		"hangs":   func(ctx context.Context) error { return sleep(ctx, time.Hour) },
+		"hangs":   func(ctx context.Context) error { return wait.Sleep(ctx, time.Hour) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			table := newFakeTable()
--- a/pkg/claim/seal.go
+++ b/pkg/claim/seal.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 	"github.com/dandelionrack/dandelionrack/pkg/platform"
 )
 
@@ -50,10 +51,8 @@
 		if err == nil || errors.Is(err, platform.ErrConflict) {
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		if wait.Sleep(ctx, sealRetryPause) != nil {
 			return errors.Wrap(err, "seal incarnation")
-		case <-time.After(sealRetryPause):
 		}
 	}
 }
@@ -93,10 +92,8 @@
 	m.starts.ReserveN(now, 1)
 	m.stats.Transactions++
 	m.mu.Unlock()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(pause):
+	if err := wait.Sleep(ctx, pause); err != nil {
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.CommitTimeout)
 	defer cancel()
--- a/pkg/configstore/submit.go
+++ b/pkg/configstore/submit.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/findings"
 	"github.com/dandelionrack/dandelionrack/pkg/platform"
@@ -237,12 +238,5 @@
 // submitters spread.
 func sleep(ctx context.Context, attempt int) error {
 	limit := min(time.Duration(attempt+1)*backoffStep, maxBackoff)
-	timer := time.NewTimer(rand.N(limit))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
+	return wait.Sleep(ctx, rand.N(limit))
 }
--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 	"github.com/dandelionrack/dandelionrack/pkg/claim"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/trace"
@@ -143,10 +144,8 @@
 		if time.Now().After(until) || !e.incarnationLive(owner) {
 			return rep
 		}
-		select {
-		case <-ctx.Done():
+		if wait.Sleep(ctx, ownerPause) != nil {
 			return rep
-		case <-time.After(ownerPause):
 		}
 	}
 }
--- a/pkg/trace/archiver.go
+++ b/pkg/trace/archiver.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 	"github.com/dandelionrack/dandelionrack/pkg/platform"
 )
 
@@ -181,14 +182,7 @@
 	if a.lastWrite.IsZero() {
 		return nil
 	}
-	timer := time.NewTimer(time.Until(a.lastWrite.Add(a.cfg.Interval)))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return wait.Sleep(ctx, time.Until(a.lastWrite.Add(a.cfg.Interval)))
 }
 
 // preparePending fixes name and content of the next object. A write whose
