ingress, replica, roster, registry: work done for nothing, and one final answer

Read again as a whole: - A heartbeat computed the rows that a peer lacks and threw them away unless this instance follows the store. It computes them only to send them. Removals are now forgotten when a batch is merged; they were when rows were computed, which an instance that does not follow the store hardly does any more. - The rows of a batch were chosen out of all sorted rows; now the chosen ones are sorted. A follower does this for each peer. - The states of a message were decoded twice. - Two functions built the same final answer of a request that is given up. - FollowsStore went through the members twice. Behaviour is unchanged.

--- a/pkg/ingress/messages.go
+++ b/pkg/ingress/messages.go
@@ -34,7 +34,10 @@
 		t := g.tables[name]
 		peer := l.has[name]
 		out.Have = append(out.Have, encodeState(name, t.Ask(now, peer)))
-		if batch, ok := t.Push(now, peer); ok && push {
+		if !push {
+			continue
+		}
+		if batch, ok := t.Push(now, peer); ok {
 			g.addRows(out, name, batch)
 		}
 	}
--- a/pkg/ingress/peers.go
+++ b/pkg/ingress/peers.go
@@ -212,8 +212,7 @@
 	if in == nil {
 		return &wire.Response{Error: "unknown call"}
 	}
-	g.takeSync(time.Now(), in)
-	out := g.replyMessage(statesOf(in))
+	out := g.replyMessage(g.takeSync(time.Now(), in))
 	if in.GetIntroduce() {
 		g.introduce(out)
 	}
@@ -233,8 +232,8 @@
 	return true
 }
 
-// takeSync takes in a peer's message.
-func (g *Ingress) takeSync(now time.Time, in *wire.ReplicaSync) {
+// takeSync takes in a peer's message and returns what the peer has.
+func (g *Ingress) takeSync(now time.Time, in *wire.ReplicaSync) map[replica.TableName]replica.State {
 	from := decodeMember(in.GetMember())
 	status := roster.Status{StoreAge: time.Duration(in.GetMember().GetStoreAgeMs()) * time.Millisecond, Following: in.GetMember().GetFollowing()}
 	for state, w := range wireStates {
@@ -272,6 +271,7 @@
 		g.merge(now, replica.TableName(rows.GetTable()), batch, "peer "+from.ID)
 	}
 	g.compareTables(now, from.ID, has)
+	return has
 }
 
 // compareTables compares the own copies with those of a peer, whose rows have
--- a/pkg/ingress/steer.go
+++ b/pkg/ingress/steer.go
@@ -31,7 +31,7 @@
 			r.answer = res.answer
 		}
 		if stop := r.mayNotRetry(ctx, res); stop != "" {
-			return r.failed(stop, res)
+			return r.giveUp(stop, res.err, minRetryAfter)
 		}
 		r.g.metrics.retries.Add(1)
 	}
@@ -210,15 +210,16 @@
 	return ""
 }
 
-// failed is the answer if another attempt is not possible.
-func (r *request) failed(reason string, res sendResult) reply {
+// giveUp is the final answer: a failure that a server gave, else what is known of
+// the request.
+func (r *request) giveUp(reason string, cause error, retryAfter time.Duration) reply {
 	switch {
 	case r.answer != nil:
 		return reply{answer: r.answer, outcome: outcomeAnswered, reason: reason}
 	case r.runs > 0:
-		return reply{status: http.StatusBadGateway, outcome: outcomeUnknown, reason: reason, cause: res.err}
+		return reply{status: http.StatusBadGateway, outcome: outcomeUnknown, reason: reason, cause: cause}
 	default:
-		return reply{status: http.StatusServiceUnavailable, outcome: outcomeNotRun, reason: reason, cause: res.err, retryAfter: minRetryAfter}
+		return reply{status: http.StatusServiceUnavailable, outcome: outcomeNotRun, reason: reason, cause: cause, retryAfter: retryAfter}
 	}
 }
 
@@ -226,11 +227,5 @@
 func (r *request) refused(f *placement.Refusal) reply {
 	r.g.log.limited("no server "+f.Reason, hclog.Info, "no server chosen", "request", r.head.ID, "service", r.service,
 		"reason", f.Reason, "considered", f.Considered, "excluded", f.Excluded, "tried", len(r.tried))
-	switch {
-	case r.answer != nil:
-		return reply{answer: r.answer, outcome: outcomeAnswered, reason: f.Reason}
-	case r.runs > 0:
-		return reply{status: http.StatusBadGateway, outcome: outcomeUnknown, reason: f.Reason}
-	}
-	return reply{status: http.StatusServiceUnavailable, outcome: outcomeNotRun, reason: f.Reason, retryAfter: max(f.RetryAfter, minRetryAfter)}
+	return r.giveUp(f.Reason, nil, max(f.RetryAfter, minRetryAfter))
 }
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -10,6 +10,7 @@
 package registry
 
 import (
+	"maps"
 	"time"
 
 	"github.com/dandelionrack/dandelionrack/pkg/fleet"
@@ -280,10 +281,7 @@
 
 // View returns what holds at a time.
 func (r *Registry) View(now time.Time) View {
-	v := View{Document: r.document, Evacuated: make(map[string]bool, len(r.evacuated))}
-	for domain := range r.evacuated {
-		v.Evacuated[domain] = true
-	}
+	v := View{Document: r.document, Evacuated: maps.Clone(r.evacuated)}
 	for _, rec := range r.servers {
 		lapsed := !rec.removedAt.IsZero()
 		if rec.Draining || lapsed && !now.Before(rec.graceUntil) {
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -68,6 +68,7 @@
 
 // Merge takes in a batch and returns the rows that changed, in key order.
 func (t *Table) Merge(now time.Time, b Batch) []Row {
+	t.prune(now)
 	var changed []Row
 	// A row that the table was complete without has been removed since. A full
 	// batch that is newer says otherwise, and heals a copy that is wrong.
@@ -90,10 +91,14 @@
 		t.advance(b.Version)
 		t.known = true
 	}
-	slices.SortFunc(changed, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
+	sortRows(changed)
 	return changed
 }
 
+func sortRows(rows []Row) {
+	slices.SortFunc(rows, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
+}
+
 func (t *Table) advance(version uint64) {
 	if version > t.version {
 		t.version = version
@@ -158,12 +163,12 @@
 // batch adds the rows: all present ones if b is full, else those that changed
 // after a version.
 func (t *Table) batch(b Batch, after uint64) Batch {
-	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
-		e := t.rows[key]
+	for _, e := range t.rows {
 		if b.Full && !e.Removed || !b.Full && e.Version > after {
 			b.Rows = append(b.Rows, e.Row)
 		}
 	}
+	sortRows(b.Rows)
 	return b
 }
 
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -223,25 +223,24 @@
 // region. It does until it hears of a follower that comes before it by rank,
 // and begins when it has heard of no follower for some time.
 func (r *Roster) FollowsStore(now time.Time) bool {
+	place := 0
 	for _, m := range r.members {
-		if m.Region != r.self.Region || !m.alive(now) || !m.status.follows() {
+		if m.Region != r.self.Region {
 			continue
 		}
-		r.followerAt = now
-		if followsBefore(m.Member, r.self) {
-			r.following = false
+		before := followsBefore(m.Member, r.self)
+		if before {
+			place++
+		}
+		if m.alive(now) && m.status.follows() {
+			r.followerAt = now
+			r.following = r.following && !before
 		}
 	}
 	if r.followerAt.IsZero() {
 		r.followerAt = now
 	}
 	if !r.following && r.status.State != Leaving {
-		place := 0
-		for _, m := range r.members {
-			if m.Region == r.self.Region && followsBefore(m.Member, r.self) {
-				place++
-			}
-		}
 		wait := takeOver + takeOverStep*time.Duration(min(place, lastPlace))
 		if now.Sub(r.followerAt) >= wait {
 			r.following = true
