standin, soak, testbed, upstream: one piece where tests had two

- The soak closes a bed after a failed start in one place, and waits for readiness with testbed.Wait.
Assertions are unchanged.

--- a/internal/soak/bed.go
+++ b/internal/soak/bed.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -86,44 +84,35 @@
 
 func newBed(ctx context.Context, o Options, ledger *Ledger) (*bed, error) {
 	b := &bed{dir: o.Dir, processes: testbed.NewProcesses(o.Bin, o.Dir), ledger: ledger, version: 2, http: newHTTPClient()}
-	var err error
-	if b.store, err = standin.NewStore(); err != nil {
-		return nil, err
-	}
-	if err := b.startServers(); err != nil {
+	if err := b.start(ctx); err != nil {
 		b.close()
 		return nil, err
 	}
-	if err := b.makeGates(); err != nil {
-		b.close()
-		return nil, err
+	return b, nil
+}
+
+func (b *bed) start(ctx context.Context) error {
+	var err error
+	if b.store, err = standin.NewStore(); err != nil {
+		return err
 	}
-	if err := b.startLinks(); err != nil {
-		b.close()
-		return nil, err
+	for _, step := range []func() error{b.startServers, b.makeGates, b.startLinks, b.writeOwnSettings} {
+		if err := step(); err != nil {
+			return err
+		}
 	}
-	now := time.Now()
 	b.store.PutDocument(b.document())
-	ledger.Moved(now, serviceReads)
+	b.ledger.Moved(time.Now(), b.movingService())
 	for _, s := range b.servers {
 		s.registered = true
 		b.store.Register(s.entry)
 	}
-	if err := b.writeOwnSettings(); err != nil {
-		b.close()
-		return nil, err
-	}
 	for _, g := range b.gates {
 		if err := b.startGate(g); err != nil {
-			b.close()
-			return nil, err
+			return err
 		}
 	}
-	if err := b.awaitReady(ctx, startTimeout); err != nil {
-		b.close()
-		return nil, err
-	}
-	return b, nil
+	return b.awaitReady(ctx, startTimeout)
 }
 
 func newHTTPClient() *http.Client {
@@ -156,19 +145,15 @@
 	return nil
 }
 
-// beds counts the beds of this process.
-var beds atomic.Int32
-
 func (b *bed) makeGates() error {
-	number := int(beds.Add(1))
-	for d, domain := range domainNames {
+	for _, domain := range domainNames {
 		for i := range gatesPerDomain {
 			g := &gate{Node: fleet.Node{
 				ID: fmt.Sprintf("%s-%d", domain, i), FailureDomain: domain, Region: domains[domain], Regions: domains,
 				Heartbeat: 1500 * time.Millisecond, MaxFiles: 4096, Bounds: b.ledger.bounds,
 			}}
 			for _, into := range []*string{&g.ClientAddr, &g.ReadyAddr, &g.PeerAddr, &g.DirectoryAddr} {
-				addr, err := freeAddr(number, d, i)
+				addr, err := testbed.FreeAddr()
 				if err != nil {
 					return err
 				}
@@ -185,19 +170,6 @@
 	return nil
 }
 
-// freeAddr returns an address of which outgoing connections and other beds take
-// no port.
-func freeAddr(bed, domain, i int) (string, error) {
-	const networks = 180 // of 127.64.0.0 and the following
-	network := 64 + (os.Getpid()+bed)%networks
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", network, domain+1, i+1))
-	if err != nil {
-		return "", errors.Wrap(err, "free address")
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // startLinks puts a link before each server, and before the store for each
 // entry instance.
 func (b *bed) startLinks() error {
@@ -226,10 +198,6 @@
 func storeLink(g *gate) string { return "store/" + g.ID + "/" }
 
 func (b *bed) document() *fleet.Document {
-	moving := serviceReads
-	if b.moved {
-		moving = serviceWrites
-	}
 	route := func(name, service string, safe bool, regions ...string) fleet.Route {
 		return fleet.Route{
 			Name: name, Host: host, Prefix: "/" + name + "/", Parts: []fleet.Part{{Service: service, Weight: 1}}, Idempotent: safe,
@@ -242,7 +210,7 @@
 	}
 	return fleet.NewDocument(b.version, []fleet.Route{
 		route("read", serviceReads, true), route("pay", serviceWrites, false), route("home", serviceReads, true, "north"),
-		route(movingRoute, moving, false),
+		route(movingRoute, b.movingService(), false),
 	}, services, fleet.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second})
 }
 
@@ -253,12 +221,15 @@
 	defer b.mu.Unlock()
 	b.version += 3
 	b.moved = !b.moved
-	service := serviceReads
+	b.store.PutDocument(b.document())
+	b.ledger.Moved(time.Now(), b.movingService())
+}
+
+func (b *bed) movingService() string {
 	if b.moved {
-		service = serviceWrites
+		return serviceWrites
 	}
-	b.store.PutDocument(b.document())
-	b.ledger.Moved(time.Now(), service)
+	return serviceReads
 }
 
 func (b *bed) startGate(g *gate) error {
@@ -285,17 +256,23 @@
 func (b *bed) awaitReady(ctx context.Context, d time.Duration) error {
 	return testbed.Wait(ctx, d, func() error {
 		for _, g := range b.gates {
-			callCtx, cancel := context.WithTimeout(ctx, time.Second)
-			err := standin.Ready(callCtx, b.http, g.ReadyAddr)
-			cancel()
-			if err != nil {
-				return errors.Wrapf(err, "entry instance %s", g.ID)
+			if err := b.ready(ctx, g); err != nil {
+				return err
 			}
 		}
 		return nil
 	})
 }
 
+func (b *bed) ready(ctx context.Context, g *gate) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if err := standin.Ready(ctx, b.http, g.ReadyAddr); err != nil {
+		return errors.Wrapf(err, "entry instance %s", g.ID)
+	}
+	return nil
+}
+
 func (b *bed) close() {
 	b.processes.Close()
 	if b.links != nil {
@@ -304,6 +281,8 @@
 	for _, s := range b.all {
 		s.Crash()
 	}
-	b.store.Close()
+	if b.store != nil {
+		b.store.Close()
+	}
 	b.http.CloseIdleConnections()
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dandelionrack/dandelionrack/internal/standin/link"
+	"github.com/dandelionrack/dandelionrack/internal/testbed"
 	"github.com/dandelionrack/dandelionrack/internal/wait"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/platform/standin"
@@ -55,7 +56,7 @@
 	run  func(b *bed, ctx context.Context, s step)
 }
 
-// kinds are the faults. Those that come twice are twice as frequent.
+// kinds are the faults. Those that stand twice are twice as frequent.
 var kinds = []kind{
 	{"kill an entry instance", (*bed).killGate},
 	{"stop an entry instance", (*bed).stopGate},
@@ -87,11 +88,8 @@
 		b.ledger.Report(time.Now(), Recovers, "%s does not start: %v", g.ID, err)
 		return
 	}
-	readyCtx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	for readyCtx.Err() == nil && standin.Ready(readyCtx, b.http, g.ReadyAddr) != nil {
-		_ = wait.Sleep(readyCtx, 50*time.Millisecond) // the loop sees the end
-	}
+	// Without the store it need not become ready; the end of the run checks.
+	_ = testbed.Wait(ctx, startTimeout, func() error { return b.ready(ctx, g) })
 	b.ledger.Down(time.Now(), g.ID, false)
 }
 
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -171,11 +172,7 @@
 func (l *Ledger) Counts() map[string]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make(map[string]int, len(l.counts))
-	for k, v := range l.counts {
-		out[k] = v
-	}
-	return out
+	return maps.Clone(l.counts)
 }
 
 func of(m map[string]*calm, name string) *calm {
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -102,6 +102,12 @@
 	return p
 }
 
+func unsafeRequest(s *script, id string) Request {
+	r := request(s, id)
+	r.Idempotent = false
+	return r
+}
+
 func request(s *script, id string) Request {
 	return Request{
 		Addr: s.addr, Method: http.MethodGet, Target: "/x?y", Host: "host", Idempotent: true,
@@ -267,16 +273,11 @@
 	s := serve(t, echo)
 	p := New(Config{UnsafeIdle: 50 * time.Millisecond})
 	t.Cleanup(p.Close)
-	unsafe := func(id string) Request {
-		r := request(s, id)
-		r.Idempotent = false
-		return r
-	}
-	_, _, _ = do(t, p, unsafe("1"))
-	_, timing, _ := do(t, p, unsafe("2"))
+	_, _, _ = do(t, p, unsafeRequest(s, "1"))
+	_, timing, _ := do(t, p, unsafeRequest(s, "2"))
 	require.True(t, timing.Reused)
 	time.Sleep(60 * time.Millisecond)
-	_, timing, _ = do(t, p, unsafe("3"))
+	_, timing, _ = do(t, p, unsafeRequest(s, "3"))
 	require.False(t, timing.Reused)
 	time.Sleep(60 * time.Millisecond)
 	_, timing, _ = do(t, p, request(s, "4"))
@@ -288,22 +289,17 @@
 func TestUnsafeRequestsToNearServers(t *testing.T) {
 	s := serve(t, echo)
 	p := newPool(t)
-	unsafe := func(id string) Request {
-		r := request(s, id)
-		r.Idempotent = false
-		return r
-	}
-	_, _, _ = do(t, p, unsafe("1"))
-	_, timing, _ := do(t, p, unsafe("2"))
+	_, _, _ = do(t, p, unsafeRequest(s, "1"))
+	_, timing, _ := do(t, p, unsafeRequest(s, "2"))
 	require.True(t, timing.Reused)
 	time.Sleep(150 * time.Millisecond)
-	_, timing, _ = do(t, p, unsafe("3"))
+	_, timing, _ = do(t, p, unsafeRequest(s, "3"))
 	require.False(t, timing.Reused)
 	for _, c := range p.hosts[s.addr].idle {
 		c.connect = 70 * time.Millisecond // as if the server were in another region
 	}
 	time.Sleep(150 * time.Millisecond)
-	_, timing, _ = do(t, p, unsafe("4"))
+	_, timing, _ = do(t, p, unsafeRequest(s, "4"))
 	require.True(t, timing.Reused)
 }
 
@@ -468,9 +464,7 @@
 	p := New(Config{UnsafeIdle: time.Second, UnsafeIdleNear: time.Second})
 	t.Cleanup(p.Close)
 	ask := func(id string) (Timing, *Error) {
-		r := request(s, id)
-		r.Idempotent = false
-		_, timing, failed := do(t, p, r)
+		_, timing, failed := do(t, p, unsafeRequest(s, id))
 		return timing, failed
 	}
 	_, failed := ask("1")
