drgate: a follower reports an overdue store call, others take over at once

Change: a call that is overdue by a quarter of the bound makes the follower report the loss while the call goes on, since a slow store still answers. The next three members by rank take over on that report, 0.2 s apart, and begin with a call that does not wait. The waiting calls of the two tables and of all regions end at different times by the store's clock, so that one of six is due within a third of a second without more calls. Followers send rows to other regions' first members, which lack them after 0.15 s.

Ruled out: shorter waits (6 calls a second more), a second follower in each region (fails if both are turned away).

The assertion of TestOneFollowerInEachRegion that was always true now bounds the followers while one of them has lost the store.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -77,8 +77,8 @@
 	document          atomic.Pointer[fleet.Document]
 	serversKnown      atomic.Bool
 	leaving           atomic.Bool
-	following         atomic.Bool // reads the store for its region
-	storeUnreachable  atomic.Bool // the last store call of follow failed
+	following         atomic.Bool      // reads the store for its region
+	followers         []*tableFollower // one for each replicated table; read-only after New
 	pushRequested     chan struct{}
 }
 
@@ -112,6 +112,9 @@
 		started:       now,
 		pushRequested: make(chan struct{}, 1),
 	}
+	for _, table := range replicatedTables {
+		g.followers = append(g.followers, newTableFollower(g, table))
+	}
 	g.roster = roster.New(g.self)
 	g.backends.OnOpen = func() { g.metrics.connections.Add(1) }
 	g.setInstance(o.Instance)
@@ -155,11 +158,11 @@
 	if err != nil {
 		return err
 	}
-	for _, run := range []func(context.Context){
-		g.register, g.runPeers, g.runTimers,
-		func(ctx context.Context) { g.follow(ctx, replica.Operator) },
-		func(ctx context.Context) { g.follow(ctx, replica.Servers) },
-	} {
+	tasks := []func(context.Context){g.register, g.runPeers, g.runTimers}
+	for _, f := range g.followers {
+		tasks = append(tasks, f.run)
+	}
+	for _, run := range tasks {
 		group.Go(func() error { run(groupCtx); return nil })
 	}
 	g.log.write(hclog.Info, "entry instance started", "incarnation", g.self.Incarnation, "failure_domain", g.self.FailureDomain,
--- a/pkg/ingress/messages.go
+++ b/pkg/ingress/messages.go
@@ -24,13 +24,14 @@
 
 // syncRequest returns a heartbeat with the table states of this instance and the
 // rows that it asks for. An instance that follows the store adds the rows that a
-// peer of its region lacks.
+// peer lacks; one of another region gets them only if its own follower has not
+// provided them in time.
 func (g *Ingress) syncRequest(l *link) *wire.ReplicaSync {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out := g.statusMessageLocked(now)
-	push := g.following.Load() && l.member.Region == g.self.Region
+	push := g.following.Load() && (l.member.Region == g.self.Region || l.lacksRows(now))
 	for _, name := range replicatedTables {
 		t := g.tables[name]
 		peer := l.tables[name]
--- a/pkg/ingress/peers.go
+++ b/pkg/ingress/peers.go
@@ -29,6 +29,10 @@
 	unresponsiveInterval = 2 * time.Second
 	// minPushInterval is the minimum time between two exchanges with a peer.
 	minPushInterval = 50 * time.Millisecond
+	// otherRegionDelay is how long a follower waits before it sends rows to an
+	// instance of another region, whose own follower mostly has them by then: a
+	// response of the store takes up to 60 ms from region to region.
+	otherRegionDelay = 150 * time.Millisecond
 	// membersRequestInterval is the minimum time between two requests for all
 	// members that a peer knows. For membersRequestPeriod after its start an
 	// instance makes them to any peer, because instances that start together
@@ -44,6 +48,9 @@
 	cancel context.CancelFunc
 	// tables are the peer's table states as of its last message.
 	tables map[replica.TableName]replica.State
+	// lackingSince is when a message of a peer of another region first showed
+	// that it lacks rows; zero if it lacks none.
+	lackingSince time.Time
 	// reached reports whether a call has ever succeeded.
 	reached bool
 	// lost reports whether the last call failed; used for logging.
@@ -136,20 +143,10 @@
 }
 
 // wakeUp makes the link send its next heartbeat immediately.
-func (l *link) wakeUp() {
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
-}
+func (l *link) wakeUp() { notify(l.wake) }
 
 // pushNow makes all links send their next heartbeat immediately.
-func (g *Ingress) pushNow() {
-	select {
-	case g.pushRequested <- struct{}{}:
-	default:
-	}
-}
+func (g *Ingress) pushNow() { notify(g.pushRequested) }
 
 func (g *Ingress) runLink(ctx context.Context, l *link, addr string) {
 	for ctx.Err() == nil {
@@ -248,17 +245,18 @@
 	}
 	g.mu.Lock()
 	newPeer := g.roster.RecordHeartbeat(now, from, status)
+	lostFollower := g.roster.LostFollower()
 	for _, m := range in.GetKnown() {
 		g.roster.Add(now, decodeMember(m))
 	}
 	has := decodeStates(in)
 	if l := g.links[from.ID]; l != nil {
-		clear(l.tables)
-		for name, state := range has {
-			l.tables[name] = replica.State{Version: state.Version, Digest: state.Digest}
-		}
+		g.recordTables(now, l, has)
 	}
 	g.mu.Unlock()
+	if lostFollower {
+		g.wakeFollowers()
+	}
 	if newPeer {
 		g.log.write(hclog.Info, "peer heard", "peer", from.ID, "incarnation", from.Incarnation, "failure_domain", from.FailureDomain)
 		g.membersChanged.Store(true)
@@ -279,6 +277,34 @@
 	return has
 }
 
+// recordTables records the table states of a peer. The caller holds mu.
+func (g *Ingress) recordTables(now time.Time, l *link, has map[replica.TableName]replica.State) {
+	clear(l.tables)
+	lacks := false
+	for name, state := range has {
+		l.tables[name] = replica.State{Version: state.Version, Digest: state.Digest}
+		if t := g.tables[name]; t != nil {
+			own := t.State()
+			lacks = lacks || state.Version < own.Version && state.Digest != own.Digest
+		}
+	}
+	switch {
+	case l.member.Region == g.self.Region || !lacks:
+		l.lackingSince = time.Time{}
+	case l.lackingSince.IsZero():
+		l.lackingSince = now
+		if g.following.Load() {
+			time.AfterFunc(otherRegionDelay, l.wakeUp)
+		}
+	}
+}
+
+// lacksRows reports whether a peer of another region has lacked rows for
+// otherRegionDelay.
+func (l *link) lacksRows(now time.Time) bool {
+	return !l.lackingSince.IsZero() && now.Sub(l.lackingSince) >= otherRegionDelay
+}
+
 // compareTables compares the local tables with those of a peer, whose rows must
 // have been merged before. If the local table lacks rows, the peer is called again
 // as soon as they may be requested.
@@ -302,7 +328,7 @@
 func (g *Ingress) updateStatusLocked(now time.Time) { g.roster.SetSelf(g.statusLocked(now)) }
 
 func (g *Ingress) statusLocked(now time.Time) roster.Status {
-	s := roster.Status{State: roster.NotReady, StoreResponseAge: g.storeAge(now), Following: g.following.Load() && !g.storeUnreachable.Load()}
+	s := roster.Status{State: roster.NotReady, StoreResponseAge: g.storeAge(now), Following: g.following.Load() && !g.storeUnavailable()}
 	switch {
 	case g.leaving.Load():
 		s.State = roster.Leaving
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -34,6 +34,9 @@
 	// does not use After.
 	After, Version uint64
 	Full           bool
+	// StoreTime is the store's steady clock at the time of its response; 0 if
+	// unknown.
+	StoreTime time.Duration
 }
 
 type entry struct {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -29,6 +29,14 @@
 	takeoverDelay   = 2 * time.Second
 	takeoverStep    = 400 * time.Millisecond
 	maxTakeoverRank = 5
+	// A follower that reports that it no longer follows is replaced at once by
+	// the first member by rank, and lossTakeoverStep later by the next one if
+	// the first has no answer of the store by then: a round trip between
+	// regions takes 110 ms. Only lossCandidates members do so, because most
+	// losses are outages of the whole store, in which each member's calls are
+	// refused.
+	lossTakeoverStep = 200 * time.Millisecond
+	lossCandidates   = 3
 	// peersPerDomain is the number of heartbeat peers in each other failure
 	// domain of the region: two, so that the loss of one member leaves an
 	// address for clients. peersPerRegion is the number in each other region:
@@ -80,6 +88,7 @@
 	refused           bool      // its address refused a connection
 	addedAt           time.Time
 	missedHeartbeatAt time.Time // last unanswered heartbeat
+	lostStore         bool      // has followed the store and reported that it no longer does
 }
 
 // Roster is one entry instance's list of members. It is not safe for concurrent
@@ -91,6 +100,9 @@
 
 	following      bool
 	followerSeenAt time.Time // when the region last had a follower
+	// lossReportedAt is when a follower last reported that it no longer
+	// follows, and zero once the region has a follower again.
+	lossReportedAt time.Time
 }
 
 // New returns a roster that contains only the instance itself.
@@ -125,6 +137,15 @@
 		return false
 	}
 	wasAlive := known.alive(now)
+	switch {
+	case s.follows():
+		known.lostStore = false
+	case known.status.follows():
+		known.lostStore = true
+		if known.Region == r.self.Region {
+			r.lossReportedAt = now
+		}
+	}
 	known.lastHeartbeat, known.status, known.refused = now, s, false
 	return !wasAlive
 }
@@ -237,6 +258,7 @@
 		}
 		if m.alive(now) && m.status.follows() {
 			r.followerSeenAt = now
+			r.lossReportedAt = time.Time{}
 			r.following = r.following && !better
 		}
 	}
@@ -245,13 +267,27 @@
 	}
 	if !r.following && r.status.State != Leaving {
 		wait := takeoverDelay + takeoverStep*time.Duration(min(rank, maxTakeoverRank))
-		if now.Sub(r.followerSeenAt) >= wait {
-			r.following = true
-		}
+		r.following = now.Sub(r.followerSeenAt) >= wait || r.replacesLostFollower(now, rank)
 	}
 	return r.following
 }
 
+// replacesLostFollower reports whether the instance takes over from a follower of
+// its region that has reported the loss of the store. rank is that of the instance
+// among all members of the region; those that have lost the store or do not
+// respond are passed over.
+func (r *Roster) replacesLostFollower(now time.Time, rank int) bool {
+	if r.lossReportedAt.IsZero() {
+		return false
+	}
+	for _, m := range r.members {
+		if m.Region == r.self.Region && rankedBefore(m.Member, r.self) && (m.lostStore || r.unresponsive(now, m.ID)) {
+			rank--
+		}
+	}
+	return rank < lossCandidates && now.Sub(r.lossReportedAt) >= lossTakeoverStep*time.Duration(rank)
+}
+
 // rankedBefore orders the members of a region that may follow the store. A
 // follower sends all changes to its region, so members with the fastest network
 // links come first: machines of one deployment have 10 to 200 Mbit/s.
@@ -262,10 +298,16 @@
 	return rendezvous.Weight("store", a.ID) < rendezvous.Weight("store", b.ID)
 }
 
+// LostFollower reports whether the region has lost its follower and the instance
+// may have to replace it.
+func (r *Roster) LostFollower() bool { return !r.following && !r.lossReportedAt.IsZero() }
+
 // HeartbeatPeers returns the members with which the instance exchanges
 // heartbeats: all of its failure domain, peersPerDomain of every other failure
 // domain of its region, and peersPerRegion of every other region, chosen by
-// rendezvous hash. A follower exchanges heartbeats with its whole region.
+// rendezvous hash. A follower exchanges heartbeats with its whole region, and in
+// other regions with those that rank first for following the store, which pass
+// changes on to their region even when they have lost the store.
 func (r *Roster) HeartbeatPeers(now time.Time) []fleet.Member {
 	groups := map[string][]fleet.Member{}
 	var out []fleet.Member
@@ -283,10 +325,13 @@
 		slices.SortFunc(group, func(a, b fleet.Member) int {
 			// Unresponsive members come last, so that a dead peer is
 			// replaced.
-			return cmp.Or(
-				compareBool(r.unresponsive(now, a.ID), r.unresponsive(now, b.ID)),
-				cmp.Compare(rendezvous.Weight(r.self.ID, a.ID), rendezvous.Weight(r.self.ID, b.ID)),
-			)
+			if c := compareBool(r.unresponsive(now, a.ID), r.unresponsive(now, b.ID)); c != 0 {
+				return c
+			}
+			if r.following && key[0] == 'r' {
+				return compareBool(rankedBefore(b, a), rankedBefore(a, b))
+			}
+			return cmp.Compare(rendezvous.Weight(r.self.ID, a.ID), rendezvous.Weight(r.self.ID, b.ID))
 		})
 		n := peersPerDomain
 		if key[0] == 'r' {
