drgate: a server that refuses connections is met at the cold rate until its start is known

Cause: an instance learned of a restart only by the registration.

Change: a refused connection, or new ones closed at once until the server is ejected, mark its start as unknown. Such a server gets what a cold one may get, summed over the instances of its region, until the store has confirmed the registrations 1.5 s or more after the sign. Peers are told at once by heartbeat (restarted_servers), since a server may be down for 250 ms only.

--- a/pkg/ingress/follow.go
+++ b/pkg/ingress/follow.go
@@ -172,6 +172,9 @@
 	f.backoff = minStoreBackoff
 	g.lastStoreResponse.Store(now.UnixNano())
 	g.merge(now, f.table, batch, "store")
+	if f.table == replica.Servers {
+		g.selector.confirmRegistrations(now)
+	}
 	_ = wait.Sleep(ctx, minChangesInterval-time.Since(started)) // run handles the end of ctx
 }
 
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -72,7 +72,7 @@
 	started            time.Time // set by New, then read-only
 
 	membersRead       atomic.Bool  // the members table has been read from the store
-	membersChanged    atomic.Bool  // views that depend on the members are out of date
+	viewOutdated      atomic.Bool  // refresh must run: the members or the limited servers have changed
 	lastStoreResponse atomic.Int64 // Unix time in nanoseconds; 0: never
 	document          atomic.Pointer[fleet.Document]
 	serversKnown      atomic.Bool
--- a/pkg/ingress/peers.go
+++ b/pkg/ingress/peers.go
@@ -259,12 +259,15 @@
 	}
 	if newPeer {
 		g.log.write(hclog.Info, "peer heard", "peer", from.ID, "incarnation", from.Incarnation, "failure_domain", from.FailureDomain)
-		g.membersChanged.Store(true)
+		g.viewOutdated.Store(true)
 	}
 	if failing := in.GetFailingServers(); len(failing) > 0 && from.Region == g.self.Region {
 		g.selector.markSuspect(now, failing)
 		g.log.writeLimited("suspect", hclog.Info, "peer reports failing backend servers", "peer", from.ID, "servers", failing)
 	}
+	if g.selector.suspectRestarts(now, in.GetRestartedServers()) {
+		g.viewOutdated.Store(true)
+	}
 	for _, rows := range in.GetRows() {
 		batch, err := decodeBatch(rows)
 		if err != nil {
@@ -274,9 +277,23 @@
 		g.merge(now, replica.TableName(rows.GetTable()), batch, "peer "+from.ID)
 	}
 	g.compareTables(now, from.ID, has)
+	if status.Following && status.StoreResponseAge >= 0 {
+		g.confirmRegistrations(now.Add(-status.StoreResponseAge), has[replica.Servers])
+	}
 	return has
 }
 
+// confirmRegistrations records that a peer's registrations were those in the store at
+// a time, if the local copy is not older.
+func (g *Ingress) confirmRegistrations(at time.Time, peer replica.State) {
+	g.mu.Lock()
+	own := g.tables[replica.Servers].State()
+	g.mu.Unlock()
+	if own.Version >= peer.Version || own.Digest == peer.Digest {
+		g.selector.confirmRegistrations(at)
+	}
+}
+
 // recordTables records the table states of a peer. The caller holds mu.
 func (g *Ingress) recordTables(now time.Time, l *link, has map[replica.TableName]replica.State) {
 	clear(l.tables)
--- a/pkg/ingress/steer.go
+++ b/pkg/ingress/steer.go
@@ -105,7 +105,13 @@
 	if res.mayHaveRun {
 		r.possibleRuns++
 	}
-	g.selector.done(time.Now(), c, result)
+	if g.selector.done(time.Now(), c, result) {
+		// Peers must know before the server has started again.
+		g.viewOutdated.Store(true)
+		g.pushNow()
+		g.log.writeLimited("refused", hclog.Info, "backend server may have restarted; limited until its registration is confirmed",
+			"server", c.Server.ID, "request", r.head.ID, "start", c.Server.StartTime)
+	}
 	g.metrics.upstream.Add(outcomeNames[result.Outcome], 1)
 	if res.final == nil || res.final.response == nil {
 		g.log.writeLimited("send "+outcomeNames[result.Outcome], hclog.Info, "send failed",
@@ -165,6 +171,9 @@
 func (r *request) classifyError(ctx context.Context, err error, result *placement.Result) sendResult {
 	var failed *upstream.Error
 	sent := !errors.As(err, &failed) || failed.Sent
+	if failed != nil {
+		result.Refused, result.ClosedAtOnce = failed.Refused, failed.ClosedAtOnce
+	}
 	res := sendResult{sent: sent, mayHaveRun: sent, err: err}
 	switch {
 	case r.clientLeft() && ctx.Err() != nil:
--- a/pkg/ingress/steering.go
+++ b/pkg/ingress/steering.go
@@ -100,10 +100,13 @@
 	return s.balancer.Choose(now, r)
 }
 
-func (s *selector) done(now time.Time, c placement.Choice, r placement.Result) {
+// done ends a choice. It reports whether the server may have restarted and this was
+// not known.
+func (s *selector) done(now time.Time, c placement.Choice, r placement.Result) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancer.Done(now, c, r)
+	return s.balancer.TakeNewSuspicion()
 }
 
 func (s *selector) ejected(now time.Time) []string {
@@ -118,6 +121,30 @@
 	s.balancer.MarkSuspect(now, ids)
 }
 
+// suspectRestarts records restarts that a peer reports, and reports whether there are
+// any.
+func (s *selector) suspectRestarts(now time.Time, ids []string) bool {
+	if len(ids) == 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.balancer.SuspectRestarts(now, ids)
+	return true
+}
+
+func (s *selector) confirmRegistrations(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.balancer.ConfirmRegistrations(at)
+}
+
+func (s *selector) unknownStarts() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.UnknownStarts()
+}
+
 func (s *selector) retriesUsed(now time.Time) map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/ingress/sync.go
+++ b/pkg/ingress/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -64,16 +65,17 @@
 	v := g.registry.View(now)
 	bounds := g.instance.Load().Bounds
 	servers := make([]placement.Server, 0, len(v.Servers))
+	unknownStarts := g.selector.unknownStarts()
 	for _, s := range v.Servers {
 		if v.Evacuated[s.FailureDomain] {
 			continue
 		}
 		in := placement.Server{
 			ID: s.ID, Service: s.Service, Addr: s.Addr,
-			Region: g.instance.Load().DomainRegions[s.FailureDomain], Slots: s.Slots, StartTime: s.StartTime, ColdUntil: s.ColdUntil,
+			Region: g.instance.Load().DomainRegions[s.FailureDomain], Slots: s.Slots, StartTime: s.StartTime, ColdUntil: s.ColdUntil, ColdQuota: placement.QuotaUnknown,
 		}
-		if now.Before(s.ColdUntil) {
-			// Only for cold servers, because it ranks all members: for all of
+		if now.Before(s.ColdUntil) || slices.Contains(unknownStarts, s.ID) {
+			// Only for limited servers, because it ranks all members: for all of
 			// 3,000 servers and 300 members that took 100 ms.
 			in.ColdQuota = g.coldQuota(v.Document, bounds, s.BackendServer)
 		}
@@ -208,7 +210,7 @@
 		g.mu.Lock()
 		due := g.registry.ViewOutdated(now)
 		g.mu.Unlock()
-		if due || g.membersChanged.Swap(false) {
+		if due || g.viewOutdated.Swap(false) {
 			g.refresh(now)
 		}
 		g.backends.Sweep(now)
--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -117,6 +117,10 @@
 	probing             bool      // one request is probing an ejected server
 	coldSends           []time.Time
 	warmObjects         map[string]time.Time // time of the last response
+	// restartSuspectedAt is the last sign that the process ended; zero if the
+	// registration is known to be that of the running process, as of
+	// startConfirmedAt.
+	restartSuspectedAt, startConfirmedAt time.Time
 }
 
 // pendingRequest is a request that has been sent to a server.
@@ -142,6 +146,7 @@
 	roundTrips   map[string]time.Duration // by region
 	hitRates     map[string]*hitRates     // by service
 	generation   uint64                   // of the newest server
+	newSuspicion bool                     // see TakeNewSuspicion
 }
 
 // New returns a balancer of an entry instance in a region.
--- a/pkg/placement/balancer_test.go
+++ b/pkg/placement/balancer_test.go
@@ -220,7 +220,7 @@
 	b.MarkSuspect(at(time.Minute), []string{"s0", "s1", "s2", "s3", "s4", "s5"})
 	available := 0
 	for _, s := range b.servers {
-		if s.available(at(time.Minute)) {
+		if b.available(at(time.Minute), s) {
 			available++
 		}
 	}
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -72,7 +72,7 @@
 			continue
 		}
 		x.considered++
-		if slices.Contains(x.r.Exclude, s.ID) || !s.available(x.now) {
+		if slices.Contains(x.r.Exclude, s.ID) || !x.b.available(x.now, s) {
 			x.excluded++
 			continue
 		}
@@ -120,7 +120,7 @@
 func (b *Balancer) assign(now time.Time, r Request, e estimate, late bool) Choice {
 	s := e.server
 	s.pending = append(s.pending, pendingRequest{now, e.latency})
-	if now.Before(s.ColdUntil) {
+	if s.limited(now) {
 		s.coldSends = append(s.coldSends, now)
 	}
 	if s.ejections > 0 {
@@ -134,18 +134,18 @@
 
 // available reports whether the server may get a request: it is neither ejected
 // nor suspect, and its cold quota is not used up.
-func (s *server) available(now time.Time) bool {
+func (b *Balancer) available(now time.Time, s *server) bool {
 	if s.probing || now.Before(s.ejectedUntil) || now.Before(s.suspectUntil) {
 		return false
 	}
-	if !now.Before(s.ColdUntil) {
+	if !s.limited(now) {
 		s.coldSends = nil
 		return true
 	}
 	for len(s.coldSends) > 0 && now.Sub(s.coldSends[0]) >= coldWindow {
 		s.coldSends = s.coldSends[1:]
 	}
-	return len(s.coldSends) < s.ColdQuota
+	return len(s.coldSends) < b.coldQuota(s)
 }
 
 func (b *Balancer) estimate(now time.Time, s *server, r Request, w *serviceTimes, preferred bool) estimate {
--- a/pkg/placement/learn.go
+++ b/pkg/placement/learn.go
@@ -17,6 +17,9 @@
 	i := slices.Index(s.pending, pendingRequest{c.sentAt, c.ExpectedLatency})
 	s.pending = slices.Delete(s.pending, i, i+1)
 	s.probing = false
+	if r.Refused {
+		b.suspectRestart(now, s)
+	}
 	if r.LoadReported {
 		s.othersLoad = max(0, float64(r.Load-len(s.pending)))
 		s.othersLoadMean += loadReportWeight * (s.othersLoad - s.othersLoadMean)
@@ -39,6 +42,9 @@
 		}
 		if s.consecutiveFailures >= ejectAfterFailures || s.ejections > 0 {
 			s.eject(now)
+			if r.ClosedAtOnce {
+				b.suspectRestart(now, s)
+			}
 		}
 	case Abandoned:
 		b.recordAbandoned(now, s, c)
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -49,7 +49,8 @@
 	// StartTime distinguishes processes that used the same id.
 	StartTime time.Time
 	// ColdUntil is when the server stops being cold; until then this entry
-	// instance sends at most ColdQuota requests in any second.
+	// instance sends at most ColdQuota requests in any second. The quota also
+	// holds while it is unknown which process of the server is running.
 	ColdUntil time.Time
 	ColdQuota int
 }
@@ -134,4 +135,10 @@
 	Connect time.Duration
 	// NewConnection says that the request was the first one of its connection.
 	NewConnection bool
+	// Refused says that the connection was refused: no process listens.
+	Refused bool
+	// ClosedAtOnce says that a new connection was closed within a round trip
+	// after the request was sent. A server with too many connections does that
+	// too.
+	ClosedAtOnce bool
 }
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -42,10 +42,11 @@
 	resetSlack = 10 * time.Millisecond
 )
 
-// stale reports whether a request failed because the server had already dropped
-// the idle connection: the failure came within a round trip, before any response.
-func (c *conn) stale(now time.Time, t Timing) bool {
-	return t.Reused && !c.responded && t.Idle >= minStaleIdle && now.Sub(t.SentAt) <= c.connectTime+resetSlack
+// closedAtOnce reports whether the connection failed within a round trip after the
+// request was sent, before any response: the server had dropped an idle connection,
+// or nothing accepts requests at its address.
+func (c *conn) closedAtOnce(now time.Time, t Timing) bool {
+	return !c.responded && now.Sub(t.SentAt) <= c.connectTime+resetSlack
 }
 
 func (c *conn) abort() { _ = c.nc.Close() } // roundTrip reports the closed connection
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -112,7 +113,12 @@
 	Sent bool
 	// Unreachable means that no connection could be opened.
 	Unreachable bool
-	Err         error
+	// Refused means that the connection was refused: no process listens.
+	Refused bool
+	// ClosedAtOnce means that a new connection was closed within a round trip
+	// after the request was sent.
+	ClosedAtOnce bool
+	Err          error
 }
 
 func (e *Error) Error() string {
@@ -171,8 +177,8 @@
 	if !stop() {
 		reusable = false
 	}
-	if err != nil && ctx.Err() == nil && c.stale(time.Now(), t) {
-		p.noteStale(time.Now(), r.Addr, t.Idle)
+	if err != nil && ctx.Err() == nil {
+		err = p.inspectFailure(time.Now(), r.Addr, c, t, err)
 	}
 	if ctx.Err() != nil && err != nil {
 		err = &Error{Sent: true, Err: errors.Wrap(context.Cause(ctx), "abandoned")}
@@ -181,6 +187,21 @@
 	return response, t, err
 }
 
+// inspectFailure records what a failed request shows of the server's connections.
+func (p *Pool) inspectFailure(now time.Time, addr string, c *conn, t Timing, err error) error {
+	var failed *Error
+	if !c.closedAtOnce(now, t) || !errors.As(err, &failed) {
+		return err
+	}
+	if !t.Reused {
+		return &Error{Sent: failed.Sent, ClosedAtOnce: true, Err: failed.Err}
+	}
+	if t.Idle >= minStaleIdle {
+		p.noteStale(now, addr, t.Idle)
+	}
+	return err
+}
+
 // noteStale records that a server had dropped an idle connection. It affects this
 // server only, because connections to a crashed server fail in the same way.
 func (p *Pool) noteStale(now time.Time, addr string, idle time.Duration) {
@@ -240,7 +261,7 @@
 		p.mu.Lock()
 		h.open--
 		p.mu.Unlock()
-		return nil, &Error{Unreachable: ctx.Err() == nil, Err: err}
+		return nil, &Error{Unreachable: ctx.Err() == nil, Refused: errors.Is(err, syscall.ECONNREFUSED), Err: err}
 	}
 	t.Connect = time.Since(start)
 	c.connectTime = t.Connect
