drgate: shift, retry window, grace and intervals follow the deployment's bounds

Cause: max_shift, drain, budget_window and the interval of registrations were decoded; the rates of the remote share, the grace of vanished registrations, the retry window and the extra cold time were constants for the four known sites.

Change: the rates are parts of max_shift (up to 0.3), RetryBudget has a window, a mass removal without a known outage gets at most drain - 0.6 s, and the interval comes from the platform's file.

--- a/pkg/budget/budget.go
+++ b/pkg/budget/budget.go
@@ -16,12 +16,13 @@
 )
 
 // RetryBudget limits the retries (and hedged requests) of one contract service
-// at one entry instance: within RetryWindow to a ratio of the requests, or to
-// MinRetries if that is more. The window consists of the current tenth of
-// RetryWindow and the nine before it.
+// at one entry instance: within a window, by default RetryWindow, to a ratio of the requests, or to
+// MinRetries if that is more. The window consists of its current tenth
+// and the nine before it.
 type RetryBudget struct {
 	ratio             float64
 	minRetries        int
+	window            time.Duration
 	current           int64
 	requests, retries [retryBuckets]int
 }
@@ -33,7 +34,7 @@
 	if ratio <= 0 {
 		minRetries = 0
 	}
-	return &RetryBudget{ratio: ratio, minRetries: minRetries}
+	return &RetryBudget{ratio: ratio, minRetries: minRetries, window: RetryWindow}
 }
 
 // SetLimits sets the ratio and the minimum of a budget that several entry
@@ -44,6 +45,19 @@
 	b.ratio, b.minRetries = ratio, minRetries
 }
 
+// SetWindow sets the time over which retries are compared with requests. Retries of
+// the former window count as made now.
+func (b *RetryBudget) SetWindow(now time.Time, window time.Duration) {
+	if window == b.window {
+		return
+	}
+	used := b.Used(now)
+	b.requests, b.retries = [retryBuckets]int{}, [retryBuckets]int{}
+	b.window = window
+	b.current = now.UnixNano() / int64(window/retryBuckets)
+	b.retries[b.current%retryBuckets] = used
+}
+
 // RecordRequest counts the first attempt of a request.
 func (b *RetryBudget) RecordRequest(now time.Time) {
 	b.advance(now)
@@ -68,7 +82,7 @@
 
 // advance clears the buckets that have begun since the last call.
 func (b *RetryBudget) advance(now time.Time) {
-	to := now.UnixNano() / int64(RetryWindow/retryBuckets)
+	to := now.UnixNano() / int64(b.window/retryBuckets)
 	if to <= b.current {
 		return
 	}
--- a/pkg/budget/budget_test.go
+++ b/pkg/budget/budget_test.go
@@ -104,3 +104,41 @@
 	require.InDelta(t, rate*11, accepted, instances)
 	require.True(t, NewRateLimiter(0, instances).Allow(epoch))
 }
+
+// Guards against more retries than a deployment allows within a window of another
+// length than the default: a budget over 10 s may be used up in the last 5 s.
+func TestRetryWindow(t *testing.T) {
+	for _, window := range []time.Duration{5 * time.Second, 20 * time.Second} {
+		b := NewRetryBudget(0.1)
+		b.SetWindow(epoch, window)
+		b.SetLimits(0.1, 1)
+		var retries []time.Time
+		for now := epoch; now.Before(at(time.Minute)); now = now.Add(100 * time.Millisecond) {
+			b.RecordRequest(now)
+			if now.Sub(epoch)%(window+window/2) > window && b.AllowRetry(now) {
+				retries = append(retries, now)
+			}
+		}
+		require.NotEmpty(t, retries)
+		allowed := int(0.1 * float64(window/(100*time.Millisecond)))
+		for i, first := range retries {
+			n := 0
+			for _, other := range retries[i:] {
+				if other.Sub(first) < window*9/10 {
+					n++
+				}
+			}
+			require.LessOrEqual(t, n, allowed, "%v", window)
+		}
+	}
+}
+
+// Guards against a budget that is forgotten when its window changes.
+func TestRetryWindowChange(t *testing.T) {
+	b := NewRetryBudget(0.1)
+	for b.AllowRetry(epoch) {
+	}
+	b.SetWindow(epoch, 5*time.Second)
+	require.False(t, b.AllowRetry(epoch))
+	require.True(t, b.AllowRetry(at(5*time.Second)))
+}
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -135,7 +135,10 @@
 // setInstance applies new platform settings.
 func (g *Ingress) setInstance(n fleet.InstanceConfig) {
 	g.instance.Store(&n)
-	g.selector.setBounds(n.Bounds)
+	g.selector.setLimits(time.Now(), &n)
+	g.mu.Lock()
+	g.registry.SetLimits(n.Bounds.Drain, n.HeartbeatInterval)
+	g.mu.Unlock()
 	if old := g.store.Load(); old == nil || old.addr != n.StoreAddr {
 		g.store.Store(&storeClient{g.newStore(n.StoreAddr, g.observeStore), n.StoreAddr})
 	}
--- a/pkg/ingress/steering.go
+++ b/pkg/ingress/steering.go
@@ -38,10 +38,16 @@
 	}
 }
 
-func (s *selector) setBounds(b fleet.Bounds) {
+// setLimits applies the deployment's bounds.
+func (s *selector) setLimits(now time.Time, n *fleet.InstanceConfig) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.bounds = b
+	s.bounds = n.Bounds
+	s.balancer.SetMaxShift(n.Bounds.MaxShift)
+	s.balancer.SetRegistrationInterval(n.HeartbeatInterval)
+	for _, b := range s.retries {
+		b.SetWindow(now, n.Bounds.RetryWindow)
+	}
 	s.updateRetryShares()
 }
 
@@ -67,10 +73,11 @@
 	return s.bounds.RetryRatio * usableRetryRatio, int(s.bounds.RetryExtra * usableRetryExtra / float64(max(1, s.memberCount)))
 }
 
-func (s *selector) retryBudget(service string) *budget.RetryBudget {
+func (s *selector) retryBudget(now time.Time, service string) *budget.RetryBudget {
 	b := s.retries[service]
 	if b == nil {
 		b = budget.NewRetryBudget(0)
+		b.SetWindow(now, s.bounds.RetryWindow)
 		b.SetLimits(s.retryShare())
 		s.retries[service] = b
 	}
@@ -83,7 +90,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	service := s.splitter.Pick(r, object)
-	s.retryBudget(service).RecordRequest(now)
+	s.retryBudget(now, service).RecordRequest(now)
 	return service
 }
 
@@ -91,7 +98,7 @@
 func (s *selector) allowRetry(now time.Time, service string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.retryBudget(service).AllowRetry(now)
+	return s.retryBudget(now, service).AllowRetry(now)
 }
 
 func (s *selector) chooseServer(now time.Time, r placement.Request) (placement.Choice, *placement.Refusal) {
--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -147,11 +147,16 @@
 	hitRates     map[string]*hitRates     // by service
 	generation   uint64                   // of the newest server
 	newSuspicion bool                     // see TakeNewSuspicion
+	maxShift     float64                  // see SetMaxShift
+	// registrationInterval is the time in which a server that has started
+	// registers.
+	registrationInterval time.Duration
 }
 
 // New returns a balancer of an entry instance in a region.
 func New(region string) *Balancer {
 	return &Balancer{
+		maxShift: defaultMaxShift, registrationInterval: defaultRegistrationInterval,
 		region: region, servers: map[string]*server{}, byService: map[string][]*server{},
 		rankings: map[string]ranking{}, remoteShares: map[string]*remoteShare{}, serviceTimes: map[string]*serviceTimes{}, roundTrips: map[string]time.Duration{}, hitRates: map[string]*hitRates{},
 	}
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -21,7 +21,7 @@
 	x := &search{b: b, now: now, r: r, times: b.serviceTimesOf(r)}
 	order := b.rank(r.Service, r.Object)
 	share := b.remoteShareOf(now, r.Service)
-	share.addSpillTokens()
+	share.addSpillTokens(b.maxShift)
 	first, second := order.local, order.remote
 	if share.isRemote(r.Service, r.Object) {
 		first, second = second, first
--- a/pkg/placement/restart.go
+++ b/pkg/placement/restart.go
@@ -8,9 +8,13 @@
 // QuotaUnknown is the ColdQuota of a server that is not cold by its registration.
 const QuotaUnknown = -1
 
-// registrationDelay is how long after its start a server may take to register: one
-// interval of its registrations, 1.5 s.
-const registrationDelay = 1500 * time.Millisecond
+// defaultRegistrationInterval is used unless SetRegistrationInterval sets one: that
+// of the known deployments.
+const defaultRegistrationInterval = 1500 * time.Millisecond
+
+// SetRegistrationInterval sets the interval at which servers renew their
+// registrations, within which a server that has started registers.
+func (b *Balancer) SetRegistrationInterval(d time.Duration) { b.registrationInterval = d }
 
 // A server whose connections are refused, or closed at once several times in a row,
 // may have ended and start again, cold, under its id. While its registration may still be that of the old
@@ -45,11 +49,11 @@
 const startConfirmationTTL = 2 * time.Second
 
 // ConfirmRegistrations records that the known registrations were those in the store
-// at a time. They name the process of each server that started registrationDelay
-// earlier or before.
+// at a time. They name the process of each server that started a registration
+// interval earlier or before.
 func (b *Balancer) ConfirmRegistrations(at time.Time) {
 	for _, s := range b.servers {
-		if !s.restartSuspectedAt.IsZero() && at.Sub(s.restartSuspectedAt) >= registrationDelay {
+		if !s.restartSuspectedAt.IsZero() && at.Sub(s.restartSuspectedAt) >= b.registrationInterval {
 			s.restartSuspectedAt = time.Time{}
 			s.startConfirmedAt = at
 		}
--- a/pkg/placement/restart_test.go
+++ b/pkg/placement/restart_test.go
@@ -40,9 +40,9 @@
 	server.ColdQuota = quota
 	b.Update([]Server{server})
 	require.Equal(t, quota, sends(restarted.Add(coldWindow)))
-	b.ConfirmRegistrations(at(time.Second + registrationDelay - time.Millisecond))
+	b.ConfirmRegistrations(at(time.Second + defaultRegistrationInterval - time.Millisecond))
 	require.Equal(t, quota, sends(restarted.Add(2*coldWindow)), "the server may have restarted and not yet registered")
-	b.ConfirmRegistrations(at(time.Second + registrationDelay))
+	b.ConfirmRegistrations(at(time.Second + defaultRegistrationInterval))
 	require.Empty(t, b.UnknownStarts())
 	require.Equal(t, 20, sends(restarted.Add(3*coldWindow)), "its registration still names the same process")
 }
--- a/pkg/placement/spread.go
+++ b/pkg/placement/spread.go
@@ -10,14 +10,19 @@
 	// shareUpdateInterval is the minimum time between updates of a share.
 	shareUpdateInterval = 100 * time.Millisecond
 	// shareIncreaseRate and shareDecreaseRate are the speeds, per second, at
-	// which the remote share of a service changes. The known deployments allow
-	// 15 % of a region's requests to change their serving region within 2 s;
-	// this uses two thirds of that.
-	shareIncreaseRate = 0.05
-	shareDecreaseRate = 0.04
-	// shareDecayRate is the speed, per second, at which the share falls when
-	// utilization gives no reason to keep it.
-	shareDecayRate = 0.01
+	// which the remote share of a service changes, in units of the share of a
+	// region's requests that may change their serving region within 2 s. The
+	// increase uses two thirds of that.
+	shareIncreaseRate = 1.0 / 3
+	shareDecreaseRate = 4.0 / 15
+	// shareDecayRate is the speed at which the share falls when utilization
+	// gives no reason to keep it, in the same unit.
+	shareDecayRate = 1.0 / 15
+	// defaultMaxShift is the allowed shift unless SetMaxShift sets one, and
+	// maxMaxShift the largest that is used: utilization is measured over half a
+	// second, and faster changes would overshoot.
+	defaultMaxShift = 0.15
+	maxMaxShift     = 0.3
 	// highUtilization is the utilization of the local region above which
 	// objects move to other regions, and lowUtilization the one below which
 	// they move back. At 0.8 the wait for a slot is still short against the
@@ -32,8 +37,9 @@
 	utilizationTimeConstant = 500 * time.Millisecond
 	// spillRatio is the share of requests that may leave the group of regions
 	// in which their object is placed, because no server there can take them.
-	// Together with shareIncreaseRate it stays below the allowed shift.
-	spillRatio     = 0.02
+	// Together with shareIncreaseRate it stays below the allowed shift, in whose
+	// units it is.
+	spillRatio     = 2.0 / 15
 	maxSpillTokens = 1.0
 )
 
@@ -58,7 +64,7 @@
 }
 
 // update adjusts the share to the utilization of the local and other regions.
-func (s *remoteShare) update(now time.Time, local, remote utilization) {
+func (s *remoteShare) update(now time.Time, local, remote utilization, maxShift float64) {
 	dt := now.Sub(s.updatedAt)
 	if dt < shareUpdateInterval {
 		return
@@ -74,13 +80,13 @@
 	case remote.slots == 0:
 		s.share = 0
 	case s.localUtilization > highUtilization && s.localUtilization > s.remoteUtilization+minUtilizationGap:
-		s.share = min(1, s.share+shareIncreaseRate*dt.Seconds())
+		s.share = min(1, s.share+maxShift*shareIncreaseRate*dt.Seconds())
 	case s.localUtilization < lowUtilization || s.remoteUtilization > s.localUtilization+minUtilizationGap:
-		s.share = max(0, s.share-shareDecreaseRate*dt.Seconds())
+		s.share = max(0, s.share-maxShift*shareDecreaseRate*dt.Seconds())
 	default:
 		// Without a clear difference, objects move back slowly: regions that
 		// are all full must not exchange objects.
-		s.share = max(0, s.share-shareDecayRate*dt.Seconds())
+		s.share = max(0, s.share-maxShift*shareDecayRate*dt.Seconds())
 	}
 }
 
@@ -89,7 +95,9 @@
 }
 
 // addSpillTokens grants the tokens for one request, spendSpillToken takes one.
-func (s *remoteShare) addSpillTokens() { s.spillTokens = min(maxSpillTokens, s.spillTokens+spillRatio) }
+func (s *remoteShare) addSpillTokens(maxShift float64) {
+	s.spillTokens = min(maxSpillTokens, s.spillTokens+maxShift*spillRatio)
+}
 
 func (s *remoteShare) spendSpillToken() { s.spillTokens = max(0, s.spillTokens-1) }
 
@@ -106,6 +114,10 @@
 	return u.load / float64(u.slots)
 }
 
+// SetMaxShift sets the share of a region's requests that may change their serving
+// region within 2 s.
+func (b *Balancer) SetMaxShift(share float64) { b.maxShift = min(share, maxMaxShift) }
+
 // remoteShareOf returns the up-to-date remote share of a service.
 func (b *Balancer) remoteShareOf(now time.Time, service string) *remoteShare {
 	s := b.remoteShares[service]
@@ -131,6 +143,6 @@
 		b.remoteShares[service] = s
 		return s
 	}
-	s.update(now, local, remote)
+	s.update(now, local, remote, b.maxShift)
 	return s
 }
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -21,9 +21,13 @@
 const (
 	// ExpiryGrace is how long a removed server stays in use if its registration
 	// may have expired. Servers register again about 2 s after the store has
-	// recovered; the delay of the change feed is subtracted, so that the grace
-	// ends before the shortest drain bound (2.5 s).
+	// recovered; the delay of the change feed is subtracted.
 	ExpiryGrace = 1900 * time.Millisecond
+	// drainMargin is the time before the drain bound at which the grace ends
+	// unless the store was unavailable, since such a removal may be planned. It
+	// covers the way from the store and the interval at which the end of the
+	// grace is noticed.
+	drainMargin = 600 * time.Millisecond
 	// massExpiryShare is the share of all servers whose removal within
 	// expiryWindow counts as expiry. It lies above the largest planned removal
 	// of the known deployments, a quarter of one service, and below the effect
@@ -32,19 +36,15 @@
 	// minMassExpiry is the minimum number of such removals.
 	minMassExpiry = 3
 	expiryWindow  = time.Second
-	// minStoreOutage is the shortest store outage after which registrations may
-	// expire: they are valid for three intervals of 1.5 s, and the oldest have
-	// an age of one interval.
-	minStoreOutage = 2500 * time.Millisecond
+	// outageMargin is subtracted from the shortest store outage after which
+	// registrations may expire, two intervals: they are valid for three, and
+	// the oldest have an age of one.
+	outageMargin = 500 * time.Millisecond
 	// maxFailureGap is the longest time between two failures of one outage.
 	maxFailureGap = 3 * time.Second
 	// outageExpiryWindow is how long after an outage a removal counts as
 	// expiry.
 	outageExpiryWindow = 2 * time.Second
-	// evacuationColdExtra is added to the cold time of servers when the
-	// evacuation of their failure domain ends: they report being cold with
-	// their next registration, 1.5 s later.
-	evacuationColdExtra = 1500 * time.Millisecond
 	// removedTTL is how long a removed server is remembered.
 	removedTTL = 30 * time.Second
 )
@@ -130,13 +130,27 @@
 	outageStart, lastStoreFailure time.Time
 	// nextChange is NextChange of the last view.
 	nextChange time.Time
+	// drain and interval are set by SetLimits.
+	drain, interval time.Duration
 }
 
 // New returns an empty registry.
 func New(d Decoder) *Registry {
-	return &Registry{decoder: d, evacuated: map[string]bool{}, servers: map[string]*record{}}
+	limits := fleet.DefaultBounds()
+	return &Registry{
+		decoder: d, evacuated: map[string]bool{}, servers: map[string]*record{},
+		drain: limits.Drain, interval: defaultInterval,
+	}
 }
 
+// defaultInterval is the interval of registrations unless SetLimits sets one: that
+// of the known deployments.
+const defaultInterval = 1500 * time.Millisecond
+
+// SetLimits sets the time within which a removed server must get no more requests,
+// and the interval at which servers renew their registrations.
+func (r *Registry) SetLimits(drain, interval time.Duration) { r.drain, r.interval = drain, interval }
+
 // RecordStoreFailure records a call that the store did not answer.
 func (r *Registry) RecordStoreFailure(started, now time.Time) {
 	if r.lastStoreFailure.IsZero() || started.Sub(r.lastStoreFailure) > maxFailureGap {
@@ -148,7 +162,7 @@
 // afterStoreOutage reports whether a removal at this time may be an expiry caused
 // by a store outage.
 func (r *Registry) afterStoreOutage(now time.Time) bool {
-	return !r.lastStoreFailure.IsZero() && now.Sub(r.lastStoreFailure) < outageExpiryWindow && r.lastStoreFailure.Sub(r.outageStart) >= minStoreOutage
+	return !r.lastStoreFailure.IsZero() && now.Sub(r.lastStoreFailure) < outageExpiryWindow && r.lastStoreFailure.Sub(r.outageStart) >= 2*r.interval-outageMargin
 }
 
 // ApplyOperator applies changed rows of the operator table.
@@ -192,7 +206,8 @@
 	delete(r.evacuated, domain)
 	for _, rec := range r.servers {
 		if rec.FailureDomain == domain {
-			rec.coldUntil = later(rec.coldUntil, now.Add(r.coldStart(rec.Service)+evacuationColdExtra))
+			// It reports being cold with its next registration.
+			rec.coldUntil = later(rec.coldUntil, now.Add(r.coldStart(rec.Service)+r.interval))
 		}
 	}
 	return true
@@ -276,15 +291,21 @@
 			all++
 		}
 	}
-	expiry := recent >= minMassExpiry && float64(recent) >= massExpiryShare*float64(all) || r.afterStoreOutage(now)
+	grace := time.Duration(0)
+	switch {
+	case r.afterStoreOutage(now):
+		grace = ExpiryGrace
+	case recent >= minMassExpiry && float64(recent) >= massExpiryShare*float64(all):
+		grace = min(ExpiryGrace, r.drain-drainMargin)
+	}
 	for id, rec := range r.servers {
 		if rec.removedAt.IsZero() {
 			continue
 		}
 		if now.Sub(rec.removedAt) > removedTTL {
 			delete(r.servers, id)
-		} else if expiry && !rec.Draining && now.Sub(rec.removedAt) < expiryWindow {
-			rec.graceUntil = rec.removedAt.Add(ExpiryGrace)
+		} else if grace > 0 && !rec.Draining && now.Sub(rec.removedAt) < expiryWindow {
+			rec.graceUntil = rec.removedAt.Add(grace)
 		}
 	}
 }
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -133,7 +133,40 @@
 	r.ApplyServers(now, []replica.Row{removed("a"), removed("b"), removed("c"), removed("d")}, true)
 	require.Len(t, r.View(now).Servers, 5)
 	require.Len(t, r.View(now.Add(ExpiryGrace)).Servers, 1)
-	require.Less(t, ExpiryGrace, 2500*time.Millisecond, "the shortest drain bound of the known deployments")
+}
+
+// Guards against requests to removed servers after the drain bound: the removal of
+// many at once may be planned. After a store outage the bound does not hold.
+func TestGraceEndsBeforeDrainBound(t *testing.T) {
+	const delays = 450 * time.Millisecond // of the change feed and of the timer that ends the grace
+	for _, drain := range []time.Duration{time.Second, 2 * time.Second, 2500 * time.Millisecond, 4 * time.Second} {
+		r := newTestRegistry("a", "b", "c", "d", "e")
+		r.SetLimits(drain, defaultInterval)
+		now := at(time.Minute)
+		r.ApplyServers(now, []replica.Row{removed("a"), removed("b"), removed("c"), removed("d")}, true)
+		require.Len(t, r.View(now).Servers, 5, "%v", drain)
+		require.Len(t, r.View(now.Add(drain-delays)).Servers, 1, "%v", drain)
+		require.Len(t, r.View(now.Add(ExpiryGrace)).Servers, 1, "%v: live servers have registered again", drain)
+	}
+	r := newTestRegistry("a", "b", "c", "d", "e")
+	r.SetLimits(time.Second, defaultInterval)
+	now := at(time.Minute)
+	r.RecordStoreFailure(now.Add(-3*time.Second), now)
+	r.ApplyServers(now, []replica.Row{removed("a")}, true)
+	require.Len(t, r.View(now.Add(ExpiryGrace-1)).Servers, 5)
+}
+
+// Guards against an outage that counts as too short for expiry where servers renew
+// their registrations more often.
+func TestOutageLengthFollowsInterval(t *testing.T) {
+	for interval, expires := range map[time.Duration]bool{500 * time.Millisecond: true, 1500 * time.Millisecond: false} {
+		r := newTestRegistry("a", "b", "c", "d", "e")
+		r.SetLimits(time.Second, interval)
+		now := at(time.Minute)
+		r.RecordStoreFailure(now.Add(-time.Second), now)
+		r.ApplyServers(now, []replica.Row{removed("a")}, true)
+		require.Equal(t, expires, len(r.View(now).Servers) == 5, "%v", interval)
+	}
 }
 
 // Guards against overloading cold servers: a new one, one that restarted under
@@ -155,7 +188,7 @@
 	require.True(t, r.View(now).Evacuated["a"])
 	r.ApplyOperator(now, []replica.Row{{Key: "out/a", Removed: true}})
 	require.Empty(t, r.View(now).Evacuated)
-	require.Equal(t, now.Add(coldStart+evacuationColdExtra), serversByID(r.View(now))["a"].ColdUntil)
+	require.Equal(t, now.Add(coldStart+defaultInterval), serversByID(r.View(now))["a"].ColdUntil)
 
 	r.ApplyServers(at(3*time.Minute), []replica.Row{server("a", func(s *fleet.BackendServer) {
 		s.StartTime, s.ColdRemaining = at(time.Minute), time.Second
