drgate: instances that start get their tables from the region, not from the store

Change: after reading the members, only the instance that ranks first in its region reads the tables. It sends them whole to peers that report to have none; without them an instance asks other peers after 0.6 s and reads the store 1.5 s after its start.

--- a/pkg/ingress/follow.go
+++ b/pkg/ingress/follow.go
@@ -215,18 +215,28 @@
 	}
 }
 
-// shouldFollow reports whether to read a table from the store: this instance is a
-// follower or has no copy yet.
+// startPeerWait is how long after its start an instance waits for a copy of a table
+// from its region before it reads the table from the store.
+const startPeerWait = 1500 * time.Millisecond
+
+// shouldFollow reports whether to read a table from the store. Without a copy, only
+// the instance that ranks first in its region does so at once: hundreds that start
+// together get theirs from it.
 func (g *Ingress) shouldFollow(table replica.TableName) bool {
+	now := time.Now()
 	g.mu.Lock()
-	following := g.roster.FollowsStore(time.Now())
+	following := g.roster.FollowsStore(now)
 	initialized := g.tables[table].Initialized()
+	ranksFirst := g.membersRead.Load() && g.roster.RanksFirst(now)
 	g.mu.Unlock()
+	if !initialized {
+		return ranksFirst || now.Sub(g.started) >= startPeerWait
+	}
 	if g.following.Swap(following) != following {
 		g.log.write(hclog.Info, "following of the store changed", "following", following)
 		if following {
 			g.pushNow() // also starts the links that a follower has
 		}
 	}
-	return !initialized || following
+	return following
 }
--- a/pkg/ingress/messages.go
+++ b/pkg/ingress/messages.go
@@ -34,13 +34,16 @@
 	push := g.following.Load() && (l.member.Region == g.self.Region || l.lacksRows(now))
 	for _, name := range replicatedTables {
 		t := g.tables[name]
-		peer := l.tables[name]
+		peer, heard := l.tables[name]
 		out.Have = append(out.Have, encodeState(name, t.StateFor(now, peer)))
-		if !push {
-			continue
-		}
-		if batch, ok := t.ChangesFor(now, peer); ok {
-			g.addRows(out, name, batch)
+		switch {
+		case !push:
+		case heard && peer.Version == 0 && l.member.Region == g.self.Region && t.Initialized():
+			g.addRows(out, name, t.Since(now, 0))
+		default:
+			if batch, ok := t.ChangesFor(now, peer); ok {
+				g.addRows(out, name, batch)
+			}
 		}
 	}
 	return out
--- a/pkg/ingress/peers.go
+++ b/pkg/ingress/peers.go
@@ -63,8 +63,8 @@
 	go g.runSeeds(ctx)
 	ticker := time.NewTicker(followCheckInterval)
 	defer ticker.Stop()
-	// If the store has not responded by then, peers are asked for their tables.
-	time.AfterFunc(replica.PullDelay, g.pushNow)
+	// If no follower has sent its tables by then, other peers are asked for them.
+	time.AfterFunc(replica.StartPullDelay, g.pushNow)
 	for {
 		g.reconcileLinks(ctx)
 		select {
@@ -297,14 +297,18 @@
 // recordTables records the table states of a peer. The caller holds mu.
 func (g *Ingress) recordTables(now time.Time, l *link, has map[replica.TableName]replica.State) {
 	clear(l.tables)
-	lacks := false
+	lacks, empty := false, false
 	for name, state := range has {
 		l.tables[name] = replica.State{Version: state.Version, Digest: state.Digest}
 		if t := g.tables[name]; t != nil {
 			own := t.State()
 			lacks = lacks || state.Version < own.Version && state.Digest != own.Digest
+			empty = empty || state.Version == 0 && t.Initialized()
 		}
 	}
+	if empty && g.following.Load() && l.member.Region == g.self.Region {
+		l.wakeUp() // an instance that has just started waits for its tables
+	}
 	switch {
 	case l.member.Region == g.self.Region || !lacks:
 		l.lackingSince = time.Time{}
--- a/pkg/ingress/sync.go
+++ b/pkg/ingress/sync.go
@@ -188,6 +188,7 @@
 	}
 	g.mu.Unlock()
 	g.membersRead.Store(true)
+	g.wakeFollowers()
 	g.refresh(now)
 	g.pushNow()
 	return nil
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -13,6 +13,10 @@
 	// have arrived by then unless a follower is cut off: a round trip between
 	// regions takes 110 ms.
 	PullDelay = 250 * time.Millisecond
+	// StartPullDelay is how long a copy that was never complete waits before it
+	// pulls all rows. Followers of the store send them to instances that have
+	// none: with the members read from the store that takes three round trips.
+	StartPullDelay = 600 * time.Millisecond
 	// pullAllDelay is how long a copy waits before it pulls all rows: by then
 	// it is clear that its peers do not know all removals since its version.
 	pullAllDelay = 1250 * time.Millisecond
@@ -59,7 +63,7 @@
 	s := t.State()
 	lag := t.Lag(now)
 	switch {
-	case lag < PullDelay || t.initialized && (peer.Version <= t.version || peer.Digest == t.digest):
+	case !t.initialized && lag < StartPullDelay || lag < PullDelay || t.initialized && (peer.Version <= t.version || peer.Digest == t.digest):
 		return s
 	case !t.initialized || lag >= pullAllDelay:
 		s.Pull = PullAll
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -288,6 +288,17 @@
 	return rank < lossCandidates && now.Sub(r.lossReportedAt) >= lossTakeoverStep*time.Duration(rank)
 }
 
+// RanksFirst reports whether no responsive member of the region ranks before the
+// instance for following the store.
+func (r *Roster) RanksFirst(now time.Time) bool {
+	for _, m := range r.members {
+		if m.Region == r.self.Region && rankedBefore(m.Member, r.self) && !r.unresponsive(now, m.ID) {
+			return false
+		}
+	}
+	return true
+}
+
 // rankedBefore orders the members of a region that may follow the store. A
 // follower sends all changes to its region, so members with the fastest network
 // links come first: machines of one deployment have 10 to 200 Mbit/s.
