placement: rankings keep the first servers of an object and follow changes

Cause: for each object all servers of the service were sorted and kept, and every ranking was dropped at each change of any server, also at a refresh for other reasons. Each weight also allocated memory.

Change: a ranking holds the first six servers of the local region and of the others; the rest is ranked when these are not enough. A new server costs one hash for each object, a removed one new rankings where it was held. The hash is the same, without allocation, and its prefix is computed once.

--- a/internal/rendezvous/rendezvous_test.go
+++ b/internal/rendezvous/rendezvous_test.go
@@ -35,3 +35,10 @@
 	}
 	require.Len(t, first, names)
 }
+
+// Guards against two ways to weigh that disagree.
+func TestPrefix(t *testing.T) {
+	require.Equal(t, Weight("service", "object", "server"), NewPrefix("service", "object").Weight("server"))
+	require.Equal(t, Weight("server", "seat"), NewPrefix("server").Weight("seat"))
+	require.Zero(t, testing.AllocsPerRun(10, func() { NewPrefix("service", "object").Weight("server") }))
+}
--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -1,11 +1,7 @@
 package placement
 
 import (
-	"cmp"
-	"slices"
 	"time"
-
-	"github.com/dandelionrack/dandelionrack/internal/rendezvous"
 )
 
 const (
@@ -90,9 +86,6 @@
 	// the region and to other regions until connections have been measured.
 	localRoundTrip  = time.Millisecond
 	remoteRoundTrip = 110 * time.Millisecond
-	// maxRankings bounds the cached rankings. Clients choose the names of
-	// objects; the largest deployment has some 2,500 in a region.
-	maxRankings = 4096
 	// maxWarmObjects bounds the objects that are remembered for one server.
 	maxWarmObjects = 256
 )
@@ -101,6 +94,7 @@
 type server struct {
 	Server
 
+	local               bool             // in the region of this instance
 	generation          uint64           // distinguishes processes under one id
 	pending             []pendingRequest // sent by this instance
 	othersLoad          float64          // requests of other instances, from the last load report
@@ -140,7 +134,7 @@
 	region       string
 	servers      map[string]*server
 	byService    map[string][]*server
-	rankings     map[string]ranking       // by service and object
+	rankings     map[string]*rankings     // by service
 	remoteShares map[string]*remoteShare  // by service
 	serviceTimes map[string]*serviceTimes // by class
 	roundTrips   map[string]time.Duration // by region
@@ -158,7 +152,7 @@
 	return &Balancer{
 		maxShift: defaultMaxShift, registrationInterval: defaultRegistrationInterval,
 		region: region, servers: map[string]*server{}, byService: map[string][]*server{},
-		rankings: map[string]ranking{}, remoteShares: map[string]*remoteShare{}, serviceTimes: map[string]*serviceTimes{}, roundTrips: map[string]time.Duration{}, hitRates: map[string]*hitRates{},
+		rankings: map[string]*rankings{}, remoteShares: map[string]*remoteShare{}, serviceTimes: map[string]*serviceTimes{}, roundTrips: map[string]time.Duration{}, hitRates: map[string]*hitRates{},
 	}
 }
 
@@ -167,12 +161,11 @@
 func (b *Balancer) Update(servers []Server) {
 	next := make(map[string]*server, len(servers))
 	b.byService = make(map[string][]*server)
-	clear(b.rankings)
 	for _, in := range servers {
 		s := b.servers[in.ID]
-		if s == nil || s.Addr != in.Addr || !s.StartTime.Equal(in.StartTime) {
+		if s == nil || s.Addr != in.Addr || s.Service != in.Service || s.Region != in.Region || !s.StartTime.Equal(in.StartTime) {
 			b.generation++
-			s = &server{generation: b.generation, slowdown: 1, warmObjects: map[string]time.Time{}}
+			s = &server{generation: b.generation, local: in.Region == b.region, slowdown: 1, warmObjects: map[string]time.Time{}}
 			if !in.ColdUntil.IsZero() {
 				s.slowdown = coldSlowdown
 				s.slowdownAt = in.ColdUntil
@@ -182,41 +175,17 @@
 		next[in.ID] = s
 		b.byService[in.Service] = append(b.byService[in.Service], s)
 	}
-	b.servers = next
-}
-
-// ranking is the order of a service's servers for an object, with the servers
-// of the local region and of other regions in separate lists.
-type ranking struct{ local, remote []*server }
-
-// rank returns the ranking of a service's servers for an object.
-func (b *Balancer) rank(service, object string) ranking {
-	key := service + "\x00" + object
-	if o, ok := b.rankings[key]; ok {
-		return o
-	}
-	type ranked struct {
-		s      *server
-		weight uint64
-	}
-	all := make([]ranked, 0, len(b.byService[service]))
-	for _, s := range b.byService[service] {
-		all = append(all, ranked{s, rendezvous.Weight(service, object, s.ID)})
-	}
-	slices.SortFunc(all, func(x, y ranked) int { return cmp.Compare(y.weight, x.weight) })
-	var out ranking
-	for _, r := range all {
-		if r.s.Region == b.region {
-			out.local = append(out.local, r.s)
-		} else {
-			out.remote = append(out.remote, r.s)
+	for id, old := range b.servers {
+		if s := next[id]; s != old {
+			b.rankings[old.Service].remove(old)
 		}
 	}
-	if len(b.rankings) >= maxRankings {
-		clear(b.rankings)
+	for id, s := range next {
+		if s != b.servers[id] {
+			b.rankings[s.Service].insert(s)
+		}
 	}
-	b.rankings[key] = out
-	return out
+	b.servers = next
 }
 
 // load estimates the number of requests at the server.
--- a/pkg/placement/balancer_test.go
+++ b/pkg/placement/balancer_test.go
@@ -237,7 +237,8 @@
 		require.Nil(t, refusal)
 		b.Done(at(time.Duration(i)*time.Millisecond), c, Result{Outcome: Served})
 	}
-	require.LessOrEqual(t, len(b.rankings), maxRankings)
+	require.Len(t, b.rankings, 1)
+	require.LessOrEqual(t, len(b.rankings["svc"].byObject), maxRankings)
 	for _, s := range b.servers {
 		require.LessOrEqual(t, len(s.warmObjects), maxWarmObjects)
 	}
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -19,18 +19,14 @@
 // Done.
 func (b *Balancer) Choose(now time.Time, r Request) (Choice, *Refusal) {
 	x := &search{b: b, now: now, r: r, times: b.serviceTimesOf(r)}
-	order := b.rank(r.Service, r.Object)
 	share := b.remoteShareOf(now, r.Service)
 	share.addSpillTokens(b.maxShift)
-	first, second := order.local, order.remote
-	if share.isRemote(r.Service, r.Object) {
-		first, second = second, first
-	}
-	x.scan(first, true)
+	placedLocally := !share.isRemote(r.Service, r.Object)
+	x.scan(placedLocally, true)
 	if x.onTime == nil && (share.spillTokens >= 1 || x.available == 0) {
 		// No server in the object's group of regions meets the objective.
 		before := x.late
-		x.scan(second, false)
+		x.scan(!placedLocally, false)
 		if (x.onTime != nil || x.late != before) && x.availableBefore > 0 {
 			share.spendSpillToken()
 		}
@@ -61,13 +57,15 @@
 	available, availableBefore int // all groups so far, groups before the current one
 }
 
-// scan considers the servers of one group in order. It stops after a few
-// available ones: an object cached at many servers evicts others from their
-// caches. placed says that the object is placed in this group.
-func (x *search) scan(group []*server, placed bool) {
+// scan considers the servers of the local region, or those of the other regions, in
+// order. It stops after a few available ones: an object cached at many servers
+// evicts others from their caches. placed says that the object is placed in this
+// group.
+func (x *search) scan(local, placed bool) {
 	x.availableBefore = x.available
-	candidates := 0
-	for rank, s := range group {
+	candidates, rank := 0, -1
+	for s := range x.b.ranked(x.r.Service, x.r.Object, local) {
+		rank++
 		if len(x.r.AllowedRegions) > 0 && !slices.Contains(x.r.AllowedRegions, s.Region) {
 			continue
 		}
