drgate: responses without end, panics and accept errors are bounded to one call

Now 64 KiB for heads, 32 MiB for encoded bodies, and bodies of responses count towards max_buffered_bytes. - a panic in the handler of a peer's call ended the process. Now the caller gets no response, so that it does not learn a false one. - an error of Accept on the peers' listener, such as no free descriptor, ended the process. Now it is tried again after 0.1 s.

--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -69,6 +69,7 @@
 	target   string
 	header   http.Header
 	body     []byte
+	acquired int64 // bytes of responses, from the body budget
 	arrived  time.Time
 	deadline time.Time
 
@@ -94,6 +95,7 @@
 func (g *Ingress) handleRequest(w http.ResponseWriter, hr *http.Request) {
 	g.metrics.requests.Add(1)
 	r := &request{g: g, http: hr, head: g.protocol.ReadRequest(hr.Header), arrived: time.Now(), doc: g.document.Load()}
+	defer func() { g.bodyBudget.Release(r.acquired) }()
 	rep := r.serve(w)
 	g.finish(w, r, rep)
 }
--- a/pkg/ingress/steer.go
+++ b/pkg/ingress/steer.go
@@ -127,12 +127,15 @@
 	var x exchangeResult
 	x.response, x.timing, x.err = g.backends.Do(ctx, upstream.Request{
 		Addr: c.Server.Addr, Method: r.http.Method, Target: r.target, Host: r.http.Host,
-		Header: r.header, Body: r.body, Idempotent: r.route.Idempotent,
+		Header: r.header, Body: r.body, Idempotent: r.route.Idempotent, Budget: g.bodyBudget,
 		Matches: func(resp *http.Response) bool {
 			x.head = g.protocol.ReadResponse(resp.StatusCode, resp.Header)
 			return x.head.RequestID == r.head.ID
 		},
 	})
+	if x.response != nil {
+		r.acquired += x.response.Acquired
+	}
 	if x.timing.MismatchedResponses > 0 {
 		g.metrics.mismatchedResponses.Add(int64(x.timing.MismatchedResponses))
 		g.log.writeLimited("foreign", hclog.Warn, "skipped responses that belong to other requests",
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -9,8 +9,10 @@
 	"io"
 	"net"
 	"net/http/httptest"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -444,3 +446,49 @@
 	p.Close()
 	require.NoError(b, s.Shutdown(context.Background()))
 }
+
+// failingListener fails once, as a listener does without free file descriptors.
+type failingListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if !l.failed.Swap(true) {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a process that ends because one connection could not be accepted.
+func TestAcceptErrorIsNotFatal(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := NewServer(Config{Handler: handlerFunc(echo)})
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(&failingListener{Listener: l}) }()
+	p := NewPool(Config{})
+	defer p.Close()
+	_, err = p.Call(contextWithTimeout(t, 2*time.Second), l.Addr().String(), heartbeatCall())
+	require.NoError(t, err)
+	require.NoError(t, s.Shutdown(contextWithTimeout(t, 2*time.Second)))
+	require.NoError(t, <-served)
+}
+
+// Guards against a message that makes its handler panic and so ends the process with
+// all requests that it serves.
+func TestHandlerPanicIsNotFatal(t *testing.T) {
+	_, addr := startServer(t, Config{Handler: handlerFunc(func(ctx context.Context, req *wire.Request) *wire.Response {
+		if req.GetForward() != nil {
+			panic("malformed")
+		}
+		return echo(ctx, req)
+	})})
+	p := NewPool(Config{})
+	defer p.Close()
+	_, err := p.Call(contextWithTimeout(t, 2*time.Second), addr, forward("a", nil))
+	require.Error(t, err)
+	require.NotErrorIs(t, err, ErrNotSent, "the handler may have acted")
+	_, err = p.Call(contextWithTimeout(t, 2*time.Second), addr, heartbeatCall())
+	require.NoError(t, err)
+}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -81,6 +81,10 @@
 	}
 }
 
+// acceptRetryInterval is the pause after a connection could not be accepted. It lets
+// file descriptors become free and is short compared with a heartbeat.
+const acceptRetryInterval = 100 * time.Millisecond
+
 // Serve accepts sessions until Shutdown closes the listener, and then returns nil.
 func (s *Server) Serve(l net.Listener) error {
 	if !s.addListener(l) {
@@ -92,7 +96,10 @@
 			return nil
 		}
 		if err != nil {
-			return errors.Wrap(err, "accept peer session")
+			// For example, no file descriptor is free.
+			s.cfg.Logger.Warn("cannot accept a peer session; trying again", "error", err, "after", acceptRetryInterval)
+			time.Sleep(acceptRetryInterval)
+			continue
 		}
 		s.openSession(conn)
 	}
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/tls"
 	"io"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -125,9 +126,22 @@
 	var answered atomic.Bool
 	go s.watchCaller(stream, &answered, cancel)
 	s.server.calls.Add(1)
-	resp := s.server.cfg.Handler.Handle(ctx, req)
+	resp, ok := s.runHandler(ctx, req)
 	answered.Store(true)
-	s.reply(stream, resp)
+	if ok {
+		s.reply(stream, resp)
+	}
+}
+
+// runHandler runs the handler. A panic affects this call only. The caller then gets no
+// response, since it is unknown how far the handler got.
+func (s *serverSession) runHandler(ctx context.Context, req *wire.Request) (resp *wire.Response, ok bool) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.server.cfg.Logger.Error("a call from a peer failed in its handler", "address", s.host, "panic", p, "stack", string(debug.Stack()))
+		}
+	}()
+	return s.server.cfg.Handler.Handle(ctx, req), true
 }
 
 // watchCaller waits until the caller closes its side of the stream, then cancels
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -14,6 +14,8 @@
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/dandelionrack/dandelionrack/internal/bytebudget"
 )
 
 // keepAliveMargin is subtracted from the idle timeout that a server announces. It
@@ -25,8 +27,9 @@
 	nc          net.Conn
 	tcp         *net.TCPConn
 	r           *bufio.Reader
-	used        bool // has carried a request before
-	responded   bool // a response to the current request has begun to arrive
+	limited     *io.LimitedReader // what r reads from; see limitHead
+	used        bool              // has carried a request before
+	responded   bool              // a response to the current request has begun to arrive
 	idleSince   time.Time
 	connectTime time.Duration // time to open the connection, about one round trip
 	expires     time.Time     // from the server's Keep-Alive header
@@ -189,9 +192,18 @@
 	return b.Bytes()
 }
 
+// limitHead makes reading fail once the head of a response exceeds maxHeadBytes: a
+// faulty server may send bytes without end.
+func (c *conn) limitHead() { c.limited.N = maxHeadBytes }
+
+// limitBody makes reading fail once the encoded body exceeds what a body of
+// MaxResponseBytes takes in chunks of a few bytes.
+func (c *conn) limitBody() { c.limited.N = maxEncodedBody }
+
 // readResponse reads the response that belongs to the request and skips late
 // responses to earlier requests on the connection.
 func (c *conn) readResponse(r Request, t *Timing) (*Response, bool, error) {
+	c.limitHead()
 	for {
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method})
 		if err != nil {
@@ -201,6 +213,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue // an interim response
 		}
+		c.limitBody()
 		if r.Matches(resp) {
 			return c.readBody(r, resp, t.MismatchedResponses == 0)
 		}
@@ -211,6 +224,7 @@
 		if err := discard(resp.Body); err != nil {
 			return nil, false, errors.Wrap(err, "skip late response to an earlier request")
 		}
+		c.limitHead()
 	}
 }
 
@@ -224,16 +238,39 @@
 // readBody reads a body to its end. A body without a length is complete if the
 // connection is closed in order; a reset is an error.
 func (c *conn) readBody(r Request, resp *http.Response, noneSkipped bool) (*Response, bool, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponseBytes+1))
+	body, acquired, err := readAll(io.LimitReader(resp.Body, MaxResponseBytes+1), r.Budget)
 	if err != nil {
 		return nil, false, errors.Wrap(err, "incomplete response")
 	}
 	if len(body) > MaxResponseBytes {
+		release(r.Budget, acquired)
 		return nil, false, errors.Errorf("response is larger than %d bytes", MaxResponseBytes)
 	}
 	c.applyKeepAlive(resp.Header.Get("Keep-Alive"))
 	reusable := noneSkipped && !resp.Close && hasKnownEnd(r.Method, resp) && c.r.Buffered() == 0
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, reusable, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Acquired: acquired}, reusable, nil
+}
+
+// readAll reads to the end and returns the bytes that it acquired from the budget.
+// After an error these are released.
+func readAll(from io.Reader, budget *bytebudget.Budget) ([]byte, int64, error) {
+	if budget == nil {
+		body, err := io.ReadAll(from)
+		return body, 0, err
+	}
+	reader := budget.NewReader(from)
+	body, err := io.ReadAll(reader)
+	if err != nil {
+		budget.Release(reader.Acquired())
+		return nil, 0, err
+	}
+	return body, reader.Acquired(), nil
+}
+
+func release(budget *bytebudget.Budget, n int64) {
+	if budget != nil {
+		budget.Release(n)
+	}
 }
 
 // applyKeepAlive sets the expiry from "timeout=N", in seconds, of a Keep-Alive
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -20,11 +20,18 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/dandelionrack/dandelionrack/internal/bytebudget"
 )
 
 const (
 	// MaxResponseBytes bounds a response body, which is held in memory.
 	MaxResponseBytes = 8 << 20
+	// maxHeadBytes bounds the status line and headers of a response, including
+	// interim responses before it. Heads of backend servers take under 1 KB.
+	maxHeadBytes = 64 << 10
+	// maxEncodedBody bounds a body with its chunk headers and trailers.
+	maxEncodedBody = 4 * MaxResponseBytes
 	// readBuffer holds the head and body of a typical response (1.5 to 5 KB).
 	readBuffer = 8 << 10
 	// maxInlineBody is the body size up to which a single write to the socket
@@ -84,6 +91,9 @@
 	Idempotent     bool
 	// Matches reports whether a response belongs to this request.
 	Matches func(*http.Response) bool
+	// Budget, if set, limits the memory of the response body. The caller
+	// releases Response.Acquired when it no longer needs the body.
+	Budget *bytebudget.Budget
 }
 
 // Response is a complete response of a backend server.
@@ -91,6 +101,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Acquired is the number of bytes acquired from Request.Budget.
+	Acquired int64
 }
 
 // Timing describes how a request was sent.
@@ -356,7 +368,8 @@
 			return nil, err
 		}
 	}
-	return &conn{nc: nc, tcp: tcp, r: bufio.NewReaderSize(nc, readBuffer), expires: time.Now().Add(time.Hour)}, nil
+	limited := &io.LimitedReader{R: nc, N: maxHeadBytes}
+	return &conn{nc: nc, tcp: tcp, r: bufio.NewReaderSize(limited, readBuffer), limited: limited, expires: time.Now().Add(time.Hour)}, nil
 }
 
 // discard reads a body to its end, up to MaxResponseBytes.
