placement: heartbeats list the ejected servers without a walk over all

Cause: every heartbeat, 80 a second on the large site, walked over all 1,209 servers twice, for those that are ejected and those that may have restarted. Change: these few are kept in a map.

--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -140,8 +140,11 @@
 	roundTrips   map[string]time.Duration // by region
 	hitRates     map[string]*hitRates     // by service
 	generation   uint64                   // of the newest server
-	newSuspicion bool                     // see TakeNewSuspicion
-	maxShift     float64                  // see SetMaxShift
+	// troubled holds the servers that are ejected or may have restarted. They
+	// are listed in every heartbeat, among more than a thousand servers.
+	troubled     map[string]*server
+	newSuspicion bool    // see TakeNewSuspicion
+	maxShift     float64 // see SetMaxShift
 	// registrationInterval is the time in which a server that has started
 	// registers.
 	registrationInterval time.Duration
@@ -151,7 +154,7 @@
 func New(region string) *Balancer {
 	return &Balancer{
 		maxShift: defaultMaxShift, registrationInterval: defaultRegistrationInterval,
-		region: region, servers: map[string]*server{}, byService: map[string][]*server{},
+		region: region, servers: map[string]*server{}, troubled: map[string]*server{}, byService: map[string][]*server{},
 		rankings: map[string]*rankings{}, remoteShares: map[string]*remoteShare{}, serviceTimes: map[string]*serviceTimes{}, roundTrips: map[string]time.Duration{}, hitRates: map[string]*hitRates{},
 	}
 }
@@ -177,6 +180,7 @@
 	}
 	for id, old := range b.servers {
 		if s := next[id]; s != old {
+			delete(b.troubled, id)
 			b.rankings[old.Service].remove(old)
 		}
 	}
--- a/pkg/placement/learn.go
+++ b/pkg/placement/learn.go
@@ -33,7 +33,7 @@
 		s.ejections = 0
 		s.fullUntil = now.Add(shedBackoff)
 	case Misdirected, Unreachable:
-		s.eject(now)
+		b.eject(now, s)
 	case Failed, Broken:
 		// A server may pass health checks and still fail all requests.
 		s.consecutiveFailures++
@@ -41,7 +41,7 @@
 			s.consecutiveFailures += newConnectionFailures - 1
 		}
 		if s.consecutiveFailures >= ejectAfterFailures || s.ejections > 0 {
-			s.eject(now)
+			b.eject(now, s)
 			if r.ClosedAtOnce {
 				b.suspectRestart(now, s)
 			}
@@ -52,7 +52,8 @@
 }
 
 // eject stops requests to a server for a time that doubles with each ejection.
-func (s *server) eject(now time.Time) {
+func (b *Balancer) eject(now time.Time, s *server) {
+	b.troubled[s.ID] = s
 	duration := min(maxEjection, minEjection<<min(s.ejections, 8))
 	s.ejections++
 	s.ejectedUntil = now.Add(duration)
@@ -148,9 +149,12 @@
 // this instance, in id order. Reports of other instances are not passed on.
 func (b *Balancer) Ejected(now time.Time) []string {
 	var out []string
-	for id, s := range b.servers {
-		if now.Before(s.ejectedUntil) {
+	for id, s := range b.troubled {
+		switch {
+		case now.Before(s.ejectedUntil):
 			out = append(out, id)
+		case s.restartSuspectedAt.IsZero():
+			delete(b.troubled, id)
 		}
 	}
 	slices.Sort(out)
--- a/pkg/placement/restart.go
+++ b/pkg/placement/restart.go
@@ -26,6 +26,7 @@
 	for _, id := range ids {
 		if s := b.servers[id]; s != nil && s.restartSuspectedAt.IsZero() && now.Sub(s.startConfirmedAt) >= startConfirmationTTL {
 			s.restartSuspectedAt = now
+			b.troubled[id] = s
 		}
 	}
 }
@@ -34,6 +35,7 @@
 func (b *Balancer) suspectRestart(now time.Time, s *server) {
 	b.newSuspicion = b.newSuspicion || s.restartSuspectedAt.IsZero()
 	s.restartSuspectedAt = now
+	b.troubled[s.ID] = s
 }
 
 // TakeNewSuspicion reports whether this instance has seen a sign of a restart that
@@ -52,7 +54,7 @@
 // at a time. They name the process of each server that started a registration
 // interval earlier or before.
 func (b *Balancer) ConfirmRegistrations(at time.Time) {
-	for _, s := range b.servers {
+	for _, s := range b.troubled {
 		if !s.restartSuspectedAt.IsZero() && at.Sub(s.restartSuspectedAt) >= b.registrationInterval {
 			s.restartSuspectedAt = time.Time{}
 			s.startConfirmedAt = at
@@ -64,7 +66,7 @@
 // that registered, in id order.
 func (b *Balancer) UnknownStarts() []string {
 	var out []string
-	for id, s := range b.servers {
+	for id, s := range b.troubled {
 		if !s.restartSuspectedAt.IsZero() {
 			out = append(out, id)
 		}
