drgate: only the first start of a deployment waits for tables from peers

Cause: since each instance that started read its row and the members before it got tables from the first one of its region.

Change: the platform says when the whole deployment starts for the first time; only then, when no client waits, do instances get tables from the region. A restart reads the store at once, as before.

Tests: TestRestartReadsTheStoreAtOnce; TestStartReadsTablesOnce now at a first start.

--- a/pkg/fleet/node.go
+++ b/pkg/fleet/node.go
@@ -16,6 +16,9 @@
 	MetricsAddr string
 	// Seeds lists the peer addresses of a few entry instances, possibly stale.
 	Seeds []string
+	// FirstStart says that the whole deployment starts for the first time, before
+	// there are clients.
+	FirstStart bool
 	// StoreAddr is host:port of the platform's metadata store.
 	StoreAddr string
 	// HeartbeatInterval is the interval at which backend servers renew their
--- a/pkg/ingress/follow.go
+++ b/pkg/ingress/follow.go
@@ -219,9 +219,10 @@
 // from its region before it reads the table from the store.
 const startPeerWait = 1500 * time.Millisecond
 
-// shouldFollow reports whether to read a table from the store. Without a copy, only
-// the instance that ranks first in its region does so at once: hundreds that start
-// together get theirs from it.
+// shouldFollow reports whether to read a table from the store. Without a copy an
+// instance reads it at once, since clients may wait for it. At the first start of the
+// deployment only the instance that ranks first in its region does so, and hundreds
+// get theirs from it.
 func (g *Ingress) shouldFollow(table replica.TableName) bool {
 	now := time.Now()
 	g.mu.Lock()
@@ -230,7 +231,7 @@
 	ranksFirst := g.membersRead.Load() && g.roster.RanksFirst(now)
 	g.mu.Unlock()
 	if !initialized {
-		return ranksFirst || now.Sub(g.started) >= startPeerWait
+		return !g.instance.Load().FirstStart || ranksFirst || now.Sub(g.started) >= startPeerWait
 	}
 	if g.following.Swap(following) != following {
 		g.log.write(hclog.Info, "following of the store changed", "following", following)
