drgate: a paused follower does not take an old answer of the store for a new one

Cause (reports of operators): the time at which the registrations were confirmed was that of reading the answer. A process paused during the call read it seconds later and could end the limit of a server that had restarted meanwhile. Change: the call's start counts, or its end if nothing had changed. A call that was only overdue now logs its regained store too. Open: heartbeats that wait in the socket during a pause (docs/platform.md).

--- a/pkg/ingress/follow.go
+++ b/pkg/ingress/follow.go
@@ -55,6 +55,7 @@
 	failing  bool          // the last call failed
 	snapshot bool          // the next call must read the whole table
 	checked  bool          // the store has responded since this instance began to follow
+	wait     time.Duration // of the last call
 	delay    time.Duration // of the last response beyond the call's wait
 	// storeTime is the store's clock at storeTimeAt; 0 if unknown.
 	storeTime   time.Duration
@@ -94,18 +95,18 @@
 	g.mu.Unlock()
 	store := g.store.Load()
 	whole := !known || f.snapshot
-	wait := time.Duration(0)
+	f.wait = 0
 	if !whole && f.checked {
-		wait = f.schedule().Wait(f.storeTime + now.Sub(f.storeTimeAt))
+		f.wait = f.schedule().Wait(f.storeTime + now.Sub(f.storeTimeAt))
 	}
-	overdue := time.AfterFunc(wait+f.overdueAfter(), f.reportOverdue)
+	overdue := time.AfterFunc(f.wait+f.overdueAfter(), f.reportOverdue)
 	defer overdue.Stop()
 	if whole {
 		return store.Snapshot(ctx, f.table)
 	}
-	batch, err := store.Changes(ctx, f.table, version, wait)
+	batch, err := store.Changes(ctx, f.table, version, f.wait)
 	if took := time.Since(now); err == nil && len(batch.Rows) == 0 {
-		f.delay = took - wait
+		f.delay = took - f.wait
 	}
 	return batch, err
 }
@@ -162,22 +163,31 @@
 		f.handleError(ctx, started, now, err)
 		return
 	}
-	if f.failing {
-		g.log.write(hclog.Info, "store regained", "table", f.table)
-		f.failing = false
+	if f.unavailable.Swap(false) {
+		g.log.writeLimited("regained", hclog.Info, "store regained", "table", f.table)
 	}
-	f.unavailable.Store(false)
+	f.failing = false
 	f.snapshot, f.checked = false, true
 	f.storeTime, f.storeTimeAt = batch.StoreTime, now
 	f.backoff = minStoreBackoff
 	g.lastStoreResponse.Store(now.UnixNano())
 	g.merge(now, f.table, batch, "store")
 	if f.table == replica.Servers {
-		g.selector.confirmRegistrations(now)
+		g.selector.confirmRegistrations(f.answeredAt(started, now, len(batch.Rows) > 0))
 	}
 	_ = wait.Sleep(ctx, minChangesInterval-time.Since(started)) // run handles the end of ctx
 }
 
+// answeredAt returns a time at which the store had not yet answered or was just
+// answering. The time at which the answer was read may be much later, if the process
+// was paused.
+func (f *tableFollower) answeredAt(started, now time.Time, changed bool) time.Time {
+	if end := started.Add(f.wait); !changed && end.Before(now) {
+		return end
+	}
+	return started
+}
+
 func (f *tableFollower) handleError(ctx context.Context, started, now time.Time, err error) {
 	g := f.g
 	if !f.failing {
