Clean-up: file names that need no explanation, an unused parameter, cut responses

drctl took the first 64 MiB of a larger response for the whole one; it is an error now (TestOversizedResponse, which fails on the code before).

--- a/internal/rendezvous/rendezvous_test.go
+++ b/internal/rendezvous/rendezvous_test.go
@@ -38,7 +38,8 @@
 
 // Guards against two ways to weigh that disagree.
 func TestPrefix(t *testing.T) {
+	var sum uint64
 	require.Equal(t, Weight("service", "object", "server"), NewPrefix("service", "object").Weight("server"))
 	require.Equal(t, Weight("server", "seat"), NewPrefix("server").Weight("seat"))
-	require.Zero(t, testing.AllocsPerRun(10, func() { NewPrefix("service", "object").Weight("server") }))
+	require.Zero(t, testing.AllocsPerRun(10, func() { sum += NewPrefix("service", "object").Weight("server") }))
 }
--- a/pkg/entry/blockstore.go
+++ b/pkg/entry/blockstore.go
@@ -225,7 +225,7 @@
 	chunks, stats, err := s.fetcher.Fetch(ctx, index, s.knownObjects())
 	s.addStats(stats)
 	chunks[hash] = packed
-	s.savePending(text, chunks)
+	s.savePending(chunks)
 	if err != nil {
 		return err
 	}
@@ -270,7 +270,7 @@
 // savePending stores the objects of an index that is not complete. They are kept
 // when the configuration changes to another index, because most chunks are the same
 // in both.
-func (s *blockStore) savePending(hash string, objects map[blocks.Hash][]byte) {
+func (s *blockStore) savePending(objects map[blocks.Hash][]byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.wanted != "" {
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -200,10 +200,13 @@
 		return nil, 0, c.transportError(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, 0, errors.Wrapf(ErrNoResponse, "%s (%v)", c.base, err)
 	}
+	if len(data) > maxResponseBytes {
+		return nil, 0, errors.Wrapf(ErrNoResponse, "%s (larger than %d bytes)", c.base, maxResponseBytes)
+	}
 	return data, resp.StatusCode, nil
 }
 
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -1,6 +1,7 @@
 package operator_test
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -160,3 +161,24 @@
 	_, err = client(t, "http://"+l.Addr().String(), "x").Document(context.Background())
 	require.ErrorIs(t, err, operator.ErrNotSent)
 }
+
+// Guards against a response that is cut at the size limit and then reported as one
+// that cannot be decoded, or taken for a whole one.
+func TestOversizedResponse(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte("{}"))
+		blank := bytes.Repeat([]byte(" "), 1<<20)
+		for range 65 {
+			if _, err := w.Write(blank); err != nil {
+				return
+			}
+		}
+	}))
+	defer srv.Close()
+	c, err := operator.NewClient(operator.ClientConfig{BaseURL: srv.URL, Token: "t", Timeout: 20 * time.Second})
+	require.NoError(t, err)
+	_, err = c.Document(context.Background())
+	require.ErrorIs(t, err, operator.ErrNoResponse)
+	require.ErrorContains(t, err, "larger than")
+}
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -8,7 +8,7 @@
 // handled the object, because the server has it cached ("warm"). The servers of
 // a service are therefore ranked for each object by a rendezvous hash, in
 // separate lists for the local region and the other regions. A share of the
-// objects is placed in other regions (spread.go), the rest in the local region.
+// objects is placed in other regions (remoteshare.go), the rest in the local region.
 // All entry instances compute the same ranking from the same registrations, so
 // they send an object to the same server without communicating.
 //
