drgate: log what a backend server announces about leaving

A response may carry Server-Leaving: 1; the adapter did not read it, so neither logs nor metrics could tell a server whose registration is still ready from one whose draining arrives late.

The first such response of a process writes a line with the state of the server's registration at that moment; leaving_notices and responses_after_leaving_notice count. Package notices holds what was announced, by process (id, address, start). Decisions are unchanged.

--- a/pkg/fleet/head.go
+++ b/pkg/fleet/head.go
@@ -22,6 +22,9 @@
 	Misdirected bool
 	// FromBackend says that the response carries the server's signature.
 	FromBackend bool
+	// Leaving says that the server announces that it leaves and wants no new
+	// requests, whatever its registration says.
+	Leaving bool
 	// Load is the number of running and queued requests of the server, if
 	// LoadReported is set.
 	Load         int
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -21,6 +21,7 @@
 	"github.com/dandelionrack/dandelionrack/internal/bytebudget"
 	"github.com/dandelionrack/dandelionrack/pkg/fleet"
 	"github.com/dandelionrack/dandelionrack/pkg/httpserver"
+	"github.com/dandelionrack/dandelionrack/pkg/notices"
 	"github.com/dandelionrack/dandelionrack/pkg/peer"
 	"github.com/dandelionrack/dandelionrack/pkg/registry"
 	"github.com/dandelionrack/dandelionrack/pkg/replica"
@@ -64,6 +65,7 @@
 	mu       sync.Mutex // guards the fields below
 	tables   map[replica.TableName]*replica.Table
 	registry *registry.Registry
+	notices  *notices.Book
 	roster   *roster.Roster
 	links    map[string]*link
 	rows     *rowEncoder
@@ -107,6 +109,7 @@
 			replica.Operator: replica.New(), replica.Servers: replica.New(),
 		},
 		registry:      registry.New(o.Protocol),
+		notices:       notices.NewBook(),
 		links:         map[string]*link{},
 		rows:          newRowEncoder(),
 		started:       now,
--- a/pkg/ingress/steer.go
+++ b/pkg/ingress/steer.go
@@ -105,6 +105,9 @@
 	if res.mayHaveRun {
 		r.possibleRuns++
 	}
+	if x.response != nil && !x.head.Misdirected {
+		g.recordNotices(r, c.Server, x.head)
+	}
 	if g.selector.done(time.Now(), c, result) {
 		// Peers must know before the server has started again.
 		g.viewOutdated.Store(true)
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -327,6 +327,32 @@
 	return v
 }
 
+// State is the state of a server's registration.
+type State string
+
+// States of a registration.
+const (
+	StateUnknown  State = "unknown"
+	StateReady    State = "ready"
+	StateDraining State = "draining"
+	StateRemoved  State = "removed"
+)
+
+// StateOf returns the state of the registration of a server.
+func (r *Registry) StateOf(id string) State {
+	rec := r.servers[id]
+	switch {
+	case rec == nil:
+		return StateUnknown
+	case !rec.removedAt.IsZero():
+		return StateRemoved
+	case rec.Draining:
+		return StateDraining
+	default:
+		return StateReady
+	}
+}
+
 // ViewOutdated reports whether the last view has changed without a new row.
 func (r *Registry) ViewOutdated(now time.Time) bool {
 	return !r.nextChange.IsZero() && !now.Before(r.nextChange)
