drgate: log the limits that backend servers name in responses

Neither logs nor metrics could tell an instance that does not know of a limit from one that ignores it or from instances whose rates add up to too much.

Server-Limit is read and kept in package notices, with the time of the latest statement: a limit ends with a response without one to a request that was sent after the limit was named. Instances pass statements on in heartbeats with their age. The first naming, each change and the end write a line with the state of the registration or the peer; limit_notices counts. Which server gets a request is decided as before.

--- a/pkg/fleet/head.go
+++ b/pkg/fleet/head.go
@@ -25,12 +25,29 @@
 	// Leaving says that the server announces that it leaves and wants no new
 	// requests, whatever its registration says.
 	Leaving bool
+	// Limit is the rate, in requests per second from all entry instances
+	// together, that the server takes as long as it says so; valid if LimitState
+	// is Limited.
+	Limit      float64
+	LimitState LimitState
 	// Load is the number of running and queued requests of the server, if
 	// LoadReported is set.
 	Load         int
 	LoadReported bool
 }
 
+// LimitState says whether a response names a limit.
+type LimitState int
+
+// States of a limit in a response.
+const (
+	NoLimit LimitState = iota
+	Limited
+	// LimitUnreadable: the response names a limit that is not a rate. An earlier
+	// limit stays in force.
+	LimitUnreadable
+)
+
 // Lookup is a client's query for the entry instances to use.
 type Lookup struct {
 	Region, FailureDomain string
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -65,7 +65,6 @@
 	mu       sync.Mutex // guards the fields below
 	tables   map[replica.TableName]*replica.Table
 	registry *registry.Registry
-	notices  *notices.Book
 	roster   *roster.Roster
 	links    map[string]*link
 	rows     *rowEncoder
@@ -73,6 +72,9 @@
 	membersRequestedAt time.Time
 	started            time.Time // set by New, then read-only
 
+	noticesMu sync.Mutex // guards notices; taken after mu
+	notices   *notices.Book
+
 	membersRead       atomic.Bool  // the members table has been read from the store
 	viewOutdated      atomic.Bool  // refresh must run: the members or the limited servers have changed
 	lastStoreResponse atomic.Int64 // Unix time in nanoseconds; 0: never
--- a/pkg/ingress/messages.go
+++ b/pkg/ingress/messages.go
@@ -80,7 +80,7 @@
 // servers that fail for it. The caller holds mu.
 func (g *Ingress) statusMessageLocked(now time.Time) *wire.ReplicaSync {
 	status := g.statusLocked(now)
-	out := &wire.ReplicaSync{Member: encodeMember(g.self), FailingServers: g.selector.ejected(now), RestartedServers: g.selector.unknownStarts(), Notices: g.noticesLocked()}
+	out := &wire.ReplicaSync{Member: encodeMember(g.self), FailingServers: g.selector.ejected(now), RestartedServers: g.selector.unknownStarts(), Notices: g.noticesLocked(now)}
 	out.Member.State = wireStates[status.State]
 	out.Member.Following = status.Following
 	out.Member.StoreAgeMs = status.StoreResponseAge.Milliseconds()
--- a/pkg/ingress/notices.go
+++ b/pkg/ingress/notices.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/dandelionrack/dandelionrack/pkg/fleet"
 	"github.com/dandelionrack/dandelionrack/pkg/notices"
@@ -16,45 +17,78 @@
 	return notices.Process{ID: s.ID, Addr: s.Addr, StartTime: s.StartTime.UnixMilli()}
 }
 
-// recordNotices records what a backend server announces in its response to a request.
-func (g *Ingress) recordNotices(r *request, s placement.Server, head fleet.ResponseHead) {
-	if !head.Leaving {
-		return
+// recordNotices records what a backend server announces in its response to a request
+// that was sent at a time.
+func (g *Ingress) recordNotices(r *request, s placement.Server, sentAt time.Time, head fleet.ResponseHead) {
+	if head.LimitState == fleet.LimitUnreadable {
+		g.log.writeLimited("limit unreadable", hclog.Warn, "limit in a response is not a rate", "server", s.ID, "request", r.head.ID)
 	}
 	now := time.Now()
-	g.mu.Lock()
-	changed := g.notices.Record(now, processOf(s), head)
-	state := g.registry.StateOf(s.ID)
-	g.mu.Unlock()
-	if !changed {
+	p := processOf(s)
+	g.noticesMu.Lock()
+	before := g.notices.Of(now, p)
+	changed := g.notices.Record(now, sentAt, p, head)
+	after := g.notices.Of(now, p)
+	g.noticesMu.Unlock()
+	if before.Leaving {
 		g.metrics.responsesAfterLeaving.Add(1)
+	}
+	if !changed {
 		return
 	}
 	g.refresh(now)
-	g.metrics.leavingNotices.Add(1)
-	g.log.writeLimited("leaving", hclog.Info, "backend server announces that it leaves",
-		"server", s.ID, "start", s.StartTime, "request", r.head.ID, "registration", state)
+	g.mu.Lock()
+	state := g.registry.StateOf(s.ID)
+	g.mu.Unlock()
+	g.logNotices(before, after, "server", s.ID, "start", s.StartTime, "request", r.head.ID, "registration", state)
+}
+
+// noticeOf returns what the process of a registered server has announced.
+func (g *Ingress) noticeOf(now time.Time, s fleet.BackendServer) notices.Notice {
+	g.noticesMu.Lock()
+	defer g.noticesMu.Unlock()
+	return g.notices.Of(now, notices.ProcessOf(s))
 }
 
 // mergeNotices records the notices in a peer's message.
 func (g *Ingress) mergeNotices(now time.Time, peer string, in []*wire.ServerNotice) {
 	for _, n := range in {
-		g.mu.Lock()
-		changed := g.notices.Merge(now, decodeNotice(n))
-		g.mu.Unlock()
+		report := decodeNotice(n)
+		g.noticesMu.Lock()
+		before := g.notices.Of(now, report.Process)
+		changed := g.notices.Merge(now, report)
+		after := g.notices.Of(now, report.Process)
+		g.noticesMu.Unlock()
 		if changed {
 			g.viewOutdated.Store(true)
-			g.log.writeLimited("leaving", hclog.Info, "peer reports that a backend server leaves",
-				"server", n.GetServer(), "start", time.UnixMilli(n.GetStartMs()), "peer", peer)
+			g.logNotices(before, after, "server", n.GetServer(), "start", time.UnixMilli(n.GetStartMs()), "peer", peer)
 		}
 	}
 }
 
+// logNotices writes a line for each notice that has changed.
+func (g *Ingress) logNotices(before, after notices.Notice, args ...any) {
+	if after.Leaving && !before.Leaving {
+		g.metrics.leavingNotices.Add(1)
+		g.log.writeLimited("leaving", hclog.Info, "backend server announces that it leaves", args...)
+	}
+	switch {
+	case after.Limited && after.Limit != before.Limit || after.Limited && !before.Limited:
+		g.metrics.limitNotices.Add(1)
+		g.log.writeLimited("limit", hclog.Info, "backend server names a limit", append(args, "per_second", after.Limit, "before", before.Limit)...)
+	case before.Limited && !after.Limited:
+		g.log.writeLimited("limit ended", hclog.Info, "backend server no longer names a limit", append(args, "before", before.Limit)...)
+	}
+}
+
 // noticesLocked returns the notices to report to peers. Those of servers that their
 // registrations already withdraw are left out. The caller holds mu.
-func (g *Ingress) noticesLocked() []*wire.ServerNotice {
+func (g *Ingress) noticesLocked(now time.Time) []*wire.ServerNotice {
+	g.noticesMu.Lock()
+	reports := g.notices.Reports(now)
+	g.noticesMu.Unlock()
 	var out []*wire.ServerNotice
-	for _, r := range g.notices.Reports() {
+	for _, r := range reports {
 		if g.registry.StateOf(r.ID) == registry.StateReady {
 			out = append(out, encodeNotice(r))
 		}
@@ -62,13 +96,25 @@
 	return out
 }
 
+// maxLimitAge bounds the age that a peer may state, so that it fits a duration.
+const maxLimitAge = 24 * time.Hour
+
 func encodeNotice(r notices.Report) *wire.ServerNotice {
-	return &wire.ServerNotice{Server: r.ID, Addr: r.Addr, StartMs: r.StartTime, Leaving: r.Leaving}
+	out := &wire.ServerNotice{Server: r.ID, Addr: r.Addr, StartMs: r.StartTime, Leaving: r.Leaving, Limited: r.Limited, Limit: r.Limit}
+	if r.LimitAge >= 0 {
+		out.LimitAgeMs = proto.Int64(r.LimitAge.Milliseconds())
+	}
+	return out
 }
 
 func decodeNotice(n *wire.ServerNotice) notices.Report {
-	return notices.Report{
-		Process: notices.Process{ID: n.GetServer(), Addr: n.GetAddr(), StartTime: n.GetStartMs()},
-		Leaving: n.GetLeaving(),
+	out := notices.Report{
+		Process:  notices.Process{ID: n.GetServer(), Addr: n.GetAddr(), StartTime: n.GetStartMs()},
+		Notice:   notices.Notice{Leaving: n.GetLeaving(), Limited: n.GetLimited(), Limit: n.GetLimit()},
+		LimitAge: -1,
 	}
+	if n.LimitAgeMs != nil {
+		out.LimitAge = time.Duration(min(n.GetLimitAgeMs(), maxLimitAge.Milliseconds())) * time.Millisecond
+	}
+	return out
 }
--- a/pkg/ingress/steer.go
+++ b/pkg/ingress/steer.go
@@ -106,7 +106,7 @@
 		r.possibleRuns++
 	}
 	if x.response != nil && !x.head.Misdirected {
-		g.recordNotices(r, c.Server, x.head)
+		g.recordNotices(r, c.Server, x.timing.SentAt, x.head)
 	}
 	if g.selector.done(time.Now(), c, result) {
 		// Peers must know before the server has started again.
--- a/pkg/ingress/sync.go
+++ b/pkg/ingress/sync.go
@@ -11,7 +11,6 @@
 
 	"github.com/dandelionrack/dandelionrack/internal/wait"
 	"github.com/dandelionrack/dandelionrack/pkg/fleet"
-	"github.com/dandelionrack/dandelionrack/pkg/notices"
 	"github.com/dandelionrack/dandelionrack/pkg/placement"
 	"github.com/dandelionrack/dandelionrack/pkg/registry"
 	"github.com/dandelionrack/dandelionrack/pkg/replica"
@@ -68,7 +67,7 @@
 	servers := make([]placement.Server, 0, len(v.Servers))
 	unknownStarts := g.selector.unknownStarts()
 	for _, s := range v.Servers {
-		if v.Evacuated[s.FailureDomain] || g.notices.Of(now, notices.ProcessOf(s.BackendServer)).Leaving {
+		if v.Evacuated[s.FailureDomain] || g.noticeOf(now, s.BackendServer).Leaving {
 			continue
 		}
 		in := placement.Server{
@@ -216,8 +215,10 @@
 			g.refresh(now)
 		}
 		g.backends.Sweep(now)
-		g.mu.Lock()
+		g.noticesMu.Lock()
 		g.notices.Prune(now)
+		g.noticesMu.Unlock()
+		g.mu.Lock()
 		g.updateStatusLocked(now)
 		g.mu.Unlock()
 	}
--- a/pkg/notices/notices.go
+++ b/pkg/notices/notices.go
@@ -1,21 +1,28 @@
 // Package notices keeps what backend servers announce about themselves in their
-// responses, for example that they leave. A notice is a statement of one process
-// of a server. It is independent of the server's registration: it stays in force
-// when the registration changes, lapses or cannot be read, and it ends with the
-// process. The package does no I/O and reads no clock.
+// responses: that they leave, and the rate of requests that they take. A notice is a
+// statement of one process of a server. It is independent of the server's
+// registration: it stays in force when the registration changes, lapses or cannot be
+// read, and it ends with the process. The package does no I/O and reads no clock.
 package notices
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/dandelionrack/dandelionrack/pkg/fleet"
 )
 
-// recordTTL is how long the notices of a process are kept after it was last
-// registered. A registration may be missing while the store is down, for minutes.
-const recordTTL = 10 * time.Minute
+const (
+	// recordTTL is how long the notices of a process are kept after it was last
+	// registered. A registration may be missing while the store is down, for
+	// minutes.
+	recordTTL = 10 * time.Minute
+	// withdrawalTTL is how long entry instances pass on that a limit has ended. By
+	// then all have heard it that are not cut off; those learn it from responses.
+	withdrawalTTL = 30 * time.Second
+)
 
 // Process identifies one process of a backend server. A later process may use the
 // same id.
@@ -34,11 +41,18 @@
 	// Leaving says that the process is about to end and wants no new requests.
 	// It is never withdrawn.
 	Leaving bool
+	// Limited says that the process takes at most Limit requests per second from
+	// all entry instances together.
+	Limited bool
+	Limit   float64
 }
 
 type record struct {
 	Notice
-	registeredAt time.Time // when the process was last seen registered or answering
+	// limitAt is the time of the latest statement on the limit; zero if there was
+	// none.
+	limitAt time.Time
+	seenAt  time.Time // when the process was last registered, or announced something
 }
 
 // Book holds the notices of all servers. It is not safe for concurrent use.
@@ -49,40 +63,88 @@
 // NewBook returns an empty Book.
 func NewBook() *Book { return &Book{records: map[Process]*record{}} }
 
-// Record records the head of a response of a process. It reports whether a notice
-// has changed.
-func (b *Book) Record(now time.Time, p Process, head fleet.ResponseHead) bool {
-	if !head.Leaving {
-		return false
+// Record records the head of a response of a process to a request that was sent at a
+// time. It reports whether a notice has changed.
+func (b *Book) Record(now, sentAt time.Time, p Process, head fleet.ResponseHead) bool {
+	r := b.records[p]
+	if r == nil {
+		if !head.Leaving && head.LimitState != fleet.Limited {
+			return false
+		}
+		r = b.recordOf(p)
+	}
+	before := r.Notice
+	r.seenAt = now
+	r.Leaving = r.Leaving || head.Leaving
+	switch {
+	case head.LimitState == fleet.Limited:
+		r.setLimit(now, true, head.Limit)
+	case head.LimitState == fleet.NoLimit && head.FromBackend && r.Limited && sentAt.After(r.limitAt):
+		// An earlier response may have been overtaken by the one that named the
+		// limit. Refusals are no sign that the need has ended.
+		r.setLimit(sentAt, false, 0)
+	}
+	return r.Notice != before
+}
+
+func (r *record) setLimit(at time.Time, limited bool, limit float64) {
+	r.limitAt, r.Limited, r.Limit = at, limited, limit
+}
+
+func (b *Book) recordOf(p Process) *record {
+	r := b.records[p]
+	if r == nil {
+		r = &record{}
+		b.records[p] = r
 	}
-	return b.setLeaving(now, p)
+	return r
 }
 
-func (b *Book) setLeaving(now time.Time, p Process) bool {
-	r := b.recordOf(now, p)
-	changed := !r.Leaving
-	r.Leaving = true
-	return changed
+// Of returns the notice of a process that is registered at this time.
+func (b *Book) Of(now time.Time, p Process) Notice {
+	r := b.records[p]
+	if r == nil {
+		return Notice{}
+	}
+	r.seenAt = now
+	return r.Notice
 }
 
 // Report is a notice as entry instances pass it on to each other.
 type Report struct {
 	Process
-	Leaving bool
+	Notice
+	// LimitAge is the age of the latest statement on the limit; negative if there
+	// was none.
+	LimitAge time.Duration
 }
 
 // Merge records the report of another entry instance. It reports whether a notice
 // has changed.
-func (b *Book) Merge(now time.Time, r Report) bool {
-	return r.Leaving && b.setLeaving(now, r.Process)
+func (b *Book) Merge(now time.Time, in Report) bool {
+	if !in.Leaving && in.LimitAge < 0 || !(in.Limit >= 0) || math.IsInf(in.Limit, 1) {
+		return false
+	}
+	r := b.recordOf(in.Process)
+	before := r.Notice
+	r.seenAt = now
+	r.Leaving = r.Leaving || in.Leaving
+	if at := now.Add(-in.LimitAge); in.LimitAge >= 0 && at.After(r.limitAt) {
+		r.setLimit(at, in.Limited, in.Limit)
+	}
+	return r.Notice != before
 }
 
 // Reports returns the notices to pass on, in the order of ids.
-func (b *Book) Reports() []Report {
+func (b *Book) Reports(now time.Time) []Report {
 	var out []Report
 	for p, r := range b.records {
-		if r.Leaving {
-			out = append(out, Report{Process: p, Leaving: true})
+		report := Report{Process: p, Notice: r.Notice, LimitAge: -1}
+		if !r.limitAt.IsZero() && (r.Limited || now.Sub(r.limitAt) < withdrawalTTL) {
+			report.LimitAge = max(0, now.Sub(r.limitAt))
+		}
+		if r.Leaving || report.LimitAge >= 0 {
+			out = append(out, report)
 		}
 	}
 	slices.SortFunc(out, func(x, y Report) int {
@@ -91,30 +153,10 @@
 	return out
 }
 
-func (b *Book) recordOf(now time.Time, p Process) *record {
-	r := b.records[p]
-	if r == nil {
-		r = &record{}
-		b.records[p] = r
-	}
-	r.registeredAt = now
-	return r
-}
-
-// Of returns the notice of a process that is registered at this time.
-func (b *Book) Of(now time.Time, p Process) Notice {
-	r := b.records[p]
-	if r == nil {
-		return Notice{}
-	}
-	r.registeredAt = now
-	return r.Notice
-}
-
 // Prune forgets processes that have not been registered for recordTTL.
 func (b *Book) Prune(now time.Time) {
 	for p, r := range b.records {
-		if now.Sub(r.registeredAt) > recordTTL {
+		if now.Sub(r.seenAt) > recordTTL {
 			delete(b.records, p)
 		}
 	}
