drgate: instances share the limit that a backend server names

Servers in need named how many requests a second they take from all instances together (Server-Limit) and got as many as before: in second1 37 and 59 requests in 4 s at a limit of 4.6, where 33 are allowed.

Cause: the limit was not read; and a server that names one is neither slow nor does it refuse, so nothing else moved its load away.

Change: the instances of the server's region share the limit, or all members if there is a request a second for each. Only as many send to the server as get one request a second, those that rank first for it by rendezvous hash; at 98 instances a request of each would alone exceed a limit of 4.6. Each fills a token bucket of one. Views of the members may differ by a third before the sum exceeds 1.5 times the limit. An instance that has not read the members takes nothing. At least a request every 4 s is sent, since only a response can say that the need has ended. Objects of a limited server are placed at the next one too, which otherwise takes them as copies only while it is nearly idle: without that 13,177 requests of TestServerLimitHoldsForAllInstances were refused.

TestSharesOfALimitAddUp plays 1 to 300 instances at limits of 0 to 500.

--- a/pkg/ingress/sync.go
+++ b/pkg/ingress/sync.go
@@ -14,6 +14,7 @@
 	"github.com/dandelionrack/dandelionrack/pkg/placement"
 	"github.com/dandelionrack/dandelionrack/pkg/registry"
 	"github.com/dandelionrack/dandelionrack/pkg/replica"
+	"github.com/dandelionrack/dandelionrack/pkg/roster"
 )
 
 const (
@@ -67,7 +68,8 @@
 	servers := make([]placement.Server, 0, len(v.Servers))
 	unknownStarts := g.selector.unknownStarts()
 	for _, s := range v.Servers {
-		if v.Evacuated[s.FailureDomain] || g.noticeOf(now, s.BackendServer).Leaving {
+		notice := g.noticeOf(now, s.BackendServer)
+		if v.Evacuated[s.FailureDomain] || notice.Leaving {
 			continue
 		}
 		in := placement.Server{
@@ -79,6 +81,9 @@
 			// 3,000 servers and 300 members that took 100 ms.
 			in.ColdQuota = g.coldQuota(v.Document, bounds, s.BackendServer)
 		}
+		if notice.Limited {
+			in.RateLimit = &placement.RateLimit{PerSecond: notice.Limit, Share: g.limitShare(notice.Limit, s.BackendServer)}
+		}
 		servers = append(servers, in)
 	}
 	g.selector.update(servers, 1+len(g.roster.Peers(now)))
@@ -121,6 +126,20 @@
 	}
 }
 
+// limitShare returns the requests per second that this instance may send to a server
+// that takes perSecond from all instances. The members of the server's region share
+// the limit, and all members if there is enough for each.
+func (g *Ingress) limitShare(perSecond float64, s fleet.BackendServer) float64 {
+	if !g.membersRead.Load() {
+		return 0 // it may know few of the others, which have their shares
+	}
+	size, rank := g.roster.RegionRank(g.instance.Load().DomainRegions[s.FailureDomain], s.ID)
+	if all, rankOfAll := g.roster.RegionRank(roster.AnyRegion, s.ID); size == 0 || perSecond >= float64(all) {
+		size, rank = all, rankOfAll
+	}
+	return placement.ShareOfLimit(perSecond, rank, size)
+}
+
 // storeAge returns the time since the last response of the store; negative if there
 // was none.
 func (g *Ingress) storeAge(now time.Time) time.Duration {
--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -115,6 +115,7 @@
 	// registration is known to be that of the running process, as of
 	// startConfirmedAt.
 	restartSuspectedAt, startConfirmedAt time.Time
+	bucket                               tokenBucket // used while RateLimit is set
 }
 
 // pendingRequest is a request that has been sent to a server.
@@ -174,6 +175,9 @@
 				s.slowdownAt = in.ColdUntil
 			}
 		}
+		if s.RateLimit == nil {
+			s.bucket = tokenBucket{}
+		}
 		s.Server = in
 		next[in.ID] = s
 		b.byService[in.Service] = append(b.byService[in.Service], s)
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -9,7 +9,7 @@
 type estimate struct {
 	server             *server
 	load               int
-	preferred          bool // first server in the object's ranking
+	preferred          bool // the object is placed at the server
 	cache              cacheExpectation
 	warm               bool
 	queueWait, latency time.Duration
@@ -63,9 +63,13 @@
 // group.
 func (x *search) scan(local, placed bool) {
 	x.availableBefore = x.available
-	candidates, rank := 0, -1
+	candidates := 0
+	// A limited server leaves most requests for its objects to the next one, at
+	// which they are then placed too.
+	preferred := placed
 	for s := range x.b.ranked(x.r.Service, x.r.Object, local) {
-		rank++
+		isPreferred := preferred
+		preferred = preferred && s.RateLimit != nil
 		if len(x.r.AllowedRegions) > 0 && !slices.Contains(x.r.AllowedRegions, s.Region) {
 			continue
 		}
@@ -75,7 +79,7 @@
 			continue
 		}
 		x.available++
-		e := x.b.estimate(x.now, s, x.r, x.times, placed && rank == 0)
+		e := x.b.estimate(x.now, s, x.r, x.times, isPreferred)
 		if x.earliest == 0 || e.latency < x.earliest {
 			x.earliest = e.latency
 		}
@@ -121,6 +125,9 @@
 	if s.limited(now) {
 		s.coldSends = append(s.coldSends, now)
 	}
+	if s.RateLimit != nil {
+		s.bucket.tokens--
+	}
 	if s.ejections > 0 {
 		s.probing = true
 	}
@@ -131,9 +138,9 @@
 }
 
 // available reports whether the server may get a request: it is neither ejected
-// nor suspect, and its cold quota is not used up.
+// nor suspect, and neither its cold quota nor its rate is used up.
 func (b *Balancer) available(now time.Time, s *server) bool {
-	if s.probing || now.Before(s.ejectedUntil) || now.Before(s.suspectUntil) {
+	if s.probing || now.Before(s.ejectedUntil) || now.Before(s.suspectUntil) || !s.withinRate(now) {
 		return false
 	}
 	if !s.limited(now) {
--- a/pkg/placement/remoteshare.go
+++ b/pkg/placement/remoteshare.go
@@ -135,7 +135,7 @@
 		if srv.Region == b.region {
 			u = &local
 		}
-		u.slots += srv.Slots
+		u.slots += srv.usableSlots()
 		u.load += float64(srv.load(now))
 	}
 	if s == nil {
--- a/pkg/placement/status.go
+++ b/pkg/placement/status.go
@@ -17,16 +17,24 @@
 	Ejected     bool    `json:"ejected"`
 	Cold        bool    `json:"cold"`
 	WarmObjects int     `json:"warm_objects"`
+	// Limit is the rate that the server takes from all instances, and Share that
+	// of this one; both are absent if it has named no limit.
+	Limit float64 `json:"limit,omitempty"`
+	Share float64 `json:"share,omitempty"`
 }
 
 // Snapshot returns the status of all servers in id order.
 func (b *Balancer) Snapshot(now time.Time) []Status {
 	out := make([]Status, 0, len(b.servers))
 	for _, s := range b.servers {
-		out = append(out, Status{
+		status := Status{
 			ID: s.ID, Service: s.Service, Slots: s.Slots, InFlight: len(s.pending), Load: s.load(now),
 			Slowdown: s.currentSlowdown(now), Ejected: now.Before(s.ejectedUntil), Cold: now.Before(s.ColdUntil), WarmObjects: len(s.warmObjects),
-		})
+		}
+		if s.RateLimit != nil {
+			status.Limit, status.Share = s.RateLimit.PerSecond, s.RateLimit.Share
+		}
+		out = append(out, status)
 	}
 	slices.SortFunc(out, func(x, y Status) int { return cmp.Compare(x.ID, y.ID) })
 	return out
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -53,6 +53,8 @@
 	// holds while it is unknown which process of the server is running.
 	ColdUntil time.Time
 	ColdQuota int
+	// RateLimit is nil unless the server has named a limit.
+	RateLimit *RateLimit
 }
 
 // Request describes a request for which a server is to be chosen.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -222,17 +222,20 @@
 	return append(out, more[:min(len(more), max(0, minAddrs-len(out)))]...)
 }
 
+// AnyRegion stands for all regions.
+const AnyRegion = ""
+
 // RegionRank returns the number of known members of a region, alive or not, and
 // the rank of the instance itself among them in a rendezvous hash order of key;
 // the rank is -1 if the instance belongs to another region.
 func (r *Roster) RegionRank(region, key string) (size, rank int) {
 	ownWeight := rendezvous.Weight(key, r.self.ID)
 	rank = -1
-	if r.self.Region == region {
+	if r.self.Region == region || region == AnyRegion {
 		size, rank = 1, 0
 	}
 	for _, m := range r.members {
-		if m.Region != region {
+		if m.Region != region && region != AnyRegion {
 			continue
 		}
 		size++
