drgate: a server that refuses with Retry-After gets no requests until then

Change: the balancer keeps the end of the pause, and package notices keeps it by process, so that a registration that lapses and returns does not end it. A shorter pause does not shorten an earlier one. It concerns this instance only and is not passed on. Line and counter: 'backend server wants no requests for a time', pauses.

--- a/pkg/fleet/head.go
+++ b/pkg/fleet/head.go
@@ -30,6 +30,9 @@
 	// is Limited.
 	Limit      float64
 	LimitState LimitState
+	// RetryAfter is how long the server, which refused the request, wants no
+	// requests from this entry instance; 0 if it does not say.
+	RetryAfter time.Duration
 	// Load is the number of running and queued requests of the server, if
 	// LoadReported is set.
 	Load         int
--- a/pkg/ingress/notices.go
+++ b/pkg/ingress/notices.go
@@ -29,7 +29,15 @@
 	before := g.notices.Of(now, p)
 	changed := g.notices.Record(now, sentAt, p, head)
 	after := g.notices.Of(now, p)
+	if head.RetryAfter > 0 {
+		g.notices.Pause(now, p, head.RetryAfter)
+	}
 	g.noticesMu.Unlock()
+	if head.RetryAfter > 0 {
+		g.metrics.pauses.Add(1)
+		g.log.writeLimited("pause", hclog.Info, "backend server wants no requests for a time",
+			"server", s.ID, "start", s.StartTime, "request", r.head.ID, "for_ms", head.RetryAfter.Milliseconds())
+	}
 	if before.Leaving {
 		g.metrics.responsesAfterLeaving.Add(1)
 	}
@@ -43,11 +51,13 @@
 	g.logNotices(before, after, "server", s.ID, "start", s.StartTime, "request", r.head.ID, "registration", state)
 }
 
-// noticeOf returns what the process of a registered server has announced.
-func (g *Ingress) noticeOf(now time.Time, s fleet.BackendServer) notices.Notice {
+// noticeOf returns what the process of a registered server has announced, and until
+// when it wants no requests from this instance.
+func (g *Ingress) noticeOf(now time.Time, s fleet.BackendServer) (notices.Notice, time.Time) {
+	p := notices.ProcessOf(s)
 	g.noticesMu.Lock()
 	defer g.noticesMu.Unlock()
-	return g.notices.Of(now, notices.ProcessOf(s))
+	return g.notices.Of(now, p), g.notices.PausedUntil(p)
 }
 
 // mergeNotices records the notices in a peer's message.
--- a/pkg/ingress/steer.go
+++ b/pkg/ingress/steer.go
@@ -155,10 +155,12 @@
 
 func classifyResponse(response *upstream.Response, head fleet.ResponseHead, result *placement.Result) sendResult {
 	result.LoadReported, result.Load = head.LoadReported, head.Load
-	switch {
-	case head.Misdirected:
+	if head.Misdirected {
 		result.Outcome = placement.Misdirected
 		return sendResult{sent: true}
+	}
+	result.RetryAfter = head.RetryAfter
+	switch {
 	case head.NotRun:
 		result.Outcome = placement.Shed
 		return sendResult{sent: true}
--- a/pkg/ingress/sync.go
+++ b/pkg/ingress/sync.go
@@ -68,13 +68,14 @@
 	servers := make([]placement.Server, 0, len(v.Servers))
 	unknownStarts := g.selector.unknownStarts()
 	for _, s := range v.Servers {
-		notice := g.noticeOf(now, s.BackendServer)
+		notice, pausedUntil := g.noticeOf(now, s.BackendServer)
 		if v.Evacuated[s.FailureDomain] || notice.Leaving {
 			continue
 		}
 		in := placement.Server{
 			ID: s.ID, Service: s.Service, Addr: s.Addr,
 			Region: g.instance.Load().DomainRegions[s.FailureDomain], Slots: s.Slots, StartTime: s.StartTime, ColdUntil: s.ColdUntil, ColdQuota: placement.QuotaUnknown,
+			PausedUntil: pausedUntil,
 		}
 		if now.Before(s.ColdUntil) || slices.Contains(unknownStarts, s.ID) {
 			// Only for limited servers, because it ranks all members: for all of
--- a/pkg/notices/notices.go
+++ b/pkg/notices/notices.go
@@ -1,8 +1,9 @@
 // Package notices keeps what backend servers announce about themselves in their
-// responses: that they leave, and the rate of requests that they take. A notice is a
-// statement of one process of a server. It is independent of the server's
-// registration: it stays in force when the registration changes, lapses or cannot be
-// read, and it ends with the process. The package does no I/O and reads no clock.
+// responses: that they leave, the rate of requests that they take, and how long they
+// want no requests. A notice is a statement of one process of a server. It is
+// independent of the server's registration: it stays in force when the registration
+// changes, lapses or cannot be read, and it ends with the process. The package does no
+// I/O and reads no clock.
 package notices
 
 import (
@@ -52,7 +53,10 @@
 	// limitAt is the time of the latest statement on the limit; zero if there was
 	// none.
 	limitAt time.Time
-	seenAt  time.Time // when the process was last registered, or announced something
+	// pausedUntil is when the process wants requests again from this instance. It
+	// says nothing about other instances.
+	pausedUntil time.Time
+	seenAt      time.Time // when the process was last registered, or announced something
 }
 
 // Book holds the notices of all servers. It is not safe for concurrent use.
@@ -110,6 +114,25 @@
 	return r.Notice
 }
 
+// Pause records that a process wants no requests from this instance for a time. An
+// earlier pause that ends later stays in force.
+func (b *Book) Pause(now time.Time, p Process, d time.Duration) {
+	r := b.recordOf(p)
+	r.seenAt = now
+	if until := now.Add(d); until.After(r.pausedUntil) {
+		r.pausedUntil = until
+	}
+}
+
+// PausedUntil returns when a process wants requests again from this instance; the
+// zero time if it has asked for no pause.
+func (b *Book) PausedUntil(p Process) time.Time {
+	if r := b.records[p]; r != nil {
+		return r.pausedUntil
+	}
+	return time.Time{}
+}
+
 // Report is a notice as entry instances pass it on to each other.
 type Report struct {
 	Process
--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -178,6 +178,7 @@
 		if s.RateLimit == nil {
 			s.bucket = tokenBucket{}
 		}
+		in.PausedUntil = later(in.PausedUntil, s.PausedUntil)
 		s.Server = in
 		next[in.ID] = s
 		b.byService[in.Service] = append(b.byService[in.Service], s)
@@ -196,6 +197,13 @@
 	b.servers = next
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // load estimates the number of requests at the server.
 func (s *server) load(now time.Time) int {
 	others := 0.0
--- a/pkg/placement/balancer_test.go
+++ b/pkg/placement/balancer_test.go
@@ -243,3 +243,22 @@
 		require.LessOrEqual(t, len(s.warmObjects), maxWarmObjects)
 	}
 }
+
+// Guards against requests to a server that wants none, also after its registration has
+// been read again, and against clients that are told to come back before it ends.
+func TestPausedServer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	servers := []Server{{ID: "s1", Service: "svc", Region: "north", Slots: 3}}
+	request := Request{Service: "svc", Class: "c", UntilObjective: time.Second, UntilDeadline: time.Second, InitialServiceTime: time.Millisecond}
+	b := New("north")
+	b.Update(servers)
+	choice, refusal := b.Choose(now, request)
+	require.Nil(t, refusal)
+	b.Done(now, choice, Result{Outcome: Shed, RetryAfter: 3 * time.Second})
+	b.Update(servers)
+	_, refusal = b.Choose(now.Add(time.Second), request)
+	require.NotNil(t, refusal)
+	require.Equal(t, 2*time.Second, refusal.RetryAfter)
+	_, refusal = b.Choose(now.Add(3*time.Second), request)
+	require.Nil(t, refusal)
+}
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -54,7 +54,8 @@
 	// free slot.
 	earliest                   time.Duration
 	considered, excluded       int
-	available, availableBefore int // all groups so far, groups before the current one
+	firstPauseEnd              time.Time // of the excluded servers; in the past if one is not paused
+	available, availableBefore int       // all groups so far, groups before the current one
 }
 
 // scan considers the servers of the local region, or those of the other regions, in
@@ -76,6 +77,9 @@
 		x.considered++
 		if slices.Contains(x.r.Exclude, s.ID) || !x.b.available(x.now, s) {
 			x.excluded++
+			if x.excluded == 1 || s.PausedUntil.Before(x.firstPauseEnd) {
+				x.firstPauseEnd = s.PausedUntil
+			}
 			continue
 		}
 		x.available++
@@ -115,6 +119,8 @@
 	if x.available > 0 {
 		out.Reason = ReasonOverload
 		out.RetryAfter = max(0, x.earliest-x.r.UntilObjective)
+	} else if x.firstPauseEnd.After(x.now) {
+		out.RetryAfter = x.firstPauseEnd.Sub(x.now)
 	}
 	return out
 }
@@ -138,9 +144,10 @@
 }
 
 // available reports whether the server may get a request: it is neither ejected
-// nor suspect, and neither its cold quota nor its rate is used up.
+// nor suspect, does not want a pause, and neither its cold quota nor its rate is used
+// up.
 func (b *Balancer) available(now time.Time, s *server) bool {
-	if s.probing || now.Before(s.ejectedUntil) || now.Before(s.suspectUntil) || !s.withinRate(now) {
+	if s.probing || now.Before(s.ejectedUntil) || now.Before(s.suspectUntil) || now.Before(s.PausedUntil) || !s.withinRate(now) {
 		return false
 	}
 	if !s.limited(now) {
--- a/pkg/placement/learn.go
+++ b/pkg/placement/learn.go
@@ -20,6 +20,9 @@
 	if r.Refused {
 		b.suspectRestart(now, s)
 	}
+	if r.RetryAfter > 0 {
+		s.PausedUntil = later(s.PausedUntil, now.Add(r.RetryAfter))
+	}
 	if r.LoadReported {
 		s.othersLoad = max(0, float64(r.Load-len(s.pending)))
 		s.othersLoadMean += loadReportWeight * (s.othersLoad - s.othersLoadMean)
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -53,6 +53,8 @@
 	// holds while it is unknown which process of the server is running.
 	ColdUntil time.Time
 	ColdQuota int
+	// PausedUntil is when the server wants requests again from this entry instance.
+	PausedUntil time.Time
 	// RateLimit is nil unless the server has named a limit.
 	RateLimit *RateLimit
 }
@@ -97,7 +99,8 @@
 // Refusal says why no server was chosen.
 type Refusal struct {
 	Reason string
-	// RetryAfter is the expected time until a server can meet the objective.
+	// RetryAfter is the expected time until a server can meet the objective, or
+	// until the first one wants requests again.
 	RetryAfter time.Duration
 	// Considered is the number of servers considered, Excluded how many of
 	// them were ejected, suspect, over their cold quota or already tried.
@@ -133,6 +136,9 @@
 	// LoadReported is set.
 	Load         int
 	LoadReported bool
+	// RetryAfter is how long the server wants no requests from this entry
+	// instance; 0 if it does not say.
+	RetryAfter time.Duration
 	// Connect is the time it took to open a connection, 0 if none was opened.
 	Connect time.Duration
 	// NewConnection says that the request was the first one of its connection.
