drgate: the next attempt at an address uses a new connection

From a report of other operators: a faulty backend server wrote an earlier refusal once more on a kept connection, and clients were told 'not run, try again' for requests that had run.

Responses are matched by the id of the request, so a refusal of another request is skipped. But all attempts of one request have the same id. An address that has changed hands is registered under two ids for a while: the first attempt gets 421, the second one goes to the same address, on the same connection, and a repeated 421 was taken for its answer. An attempt at an address that the request has been sent to before now opens a connection; the test passes.

--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -76,6 +76,7 @@
 	sendCount    int // attempts that were sent to a server
 	possibleRuns int // attempts that may have run
 	tried        []string
+	triedAddrs   []string
 	last         placement.Choice
 	// failedResponse is the last response of a server that reported a failure.
 	// It is sent to the client if no other attempt succeeds.
--- a/pkg/ingress/steer.go
+++ b/pkg/ingress/steer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -27,6 +28,7 @@
 			return *res.final
 		}
 		r.tried = append(r.tried, choice.Server.ID)
+		r.triedAddrs = append(r.triedAddrs, choice.Server.Addr)
 		if res.response != nil {
 			r.failedResponse = res.response
 		}
@@ -131,6 +133,7 @@
 	x.response, x.timing, x.err = g.backends.Do(ctx, upstream.Request{
 		Addr: c.Server.Addr, Method: r.http.Method, Target: r.target, Host: r.http.Host,
 		Header: r.header, Body: r.body, Idempotent: r.route.Idempotent, Budget: g.bodyBudget,
+		NewConnection: slices.Contains(r.triedAddrs, c.Server.Addr),
 		Matches: func(resp *http.Response) bool {
 			x.head = g.protocol.ReadResponse(resp.StatusCode, resp.Header)
 			return x.head.RequestID == r.head.ID
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -89,6 +89,10 @@
 	Header         http.Header
 	Body           []byte
 	Idempotent     bool
+	// NewConnection says not to reuse a connection. An earlier attempt of the same
+	// request may have used one, on which a response to that attempt can still
+	// arrive; it would match this one.
+	NewConnection bool
 	// Matches reports whether a response belongs to this request.
 	Matches func(*http.Response) bool
 	// Budget, if set, limits the memory of the response body. The caller
@@ -247,7 +251,7 @@
 			return p.cfg.NonIdempotentMaxIdle
 		}
 	}
-	for {
+	for !r.NewConnection {
 		c, ok := p.takeIdle(r.Addr, maxIdle)
 		if !ok {
 			break
