soak: servers that leave, name limits or ask for pauses in their responses

Three faults and three invariants, with a violated and an allowed case each in TestCheckerDetectsViolations.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -20,8 +22,11 @@
 	// some last longer than the timeouts of the system (2.5 to 6.5 s).
 	minInterval    = 100 * time.Millisecond
 	intervalSpread = 1200 * time.Millisecond
-	minDuration    = 200 * time.Millisecond
-	durationSpread = 5 * time.Second
+	// minNoticeInterval is the minimum between two servers that announce something:
+	// they stay faulty for longer than others.
+	minNoticeInterval = time.Second
+	minDuration       = 200 * time.Millisecond
+	durationSpread    = 5 * time.Second
 	// reregisterPeriod is the time over which expired registrations are restored.
 	reregisterPeriod = 1500 * time.Millisecond
 	// faultyServersDivisor limits the faulty servers to this fraction of all: one
@@ -38,13 +43,20 @@
 	duration time.Duration
 }
 
-// planFaults derives the faults of a run from its seed alone.
+// planFaults derives the faults of a run from its seed alone. Each group of kinds has
+// its own random numbers, so that a new group leaves the faults of a seed as they were.
 func planFaults(seed uint64, d time.Duration) []plannedFault {
-	random := rand.New(rand.NewPCG(seed, 1))
+	out := drawFaults(rand.New(rand.NewPCG(seed, 1)), d, faultKinds, minInterval)
+	out = append(out, drawFaults(rand.New(rand.NewPCG(seed, 2)), d, noticeFaultKinds, minNoticeInterval)...)
+	slices.SortStableFunc(out, func(a, b plannedFault) int { return cmp.Compare(a.at, b.at) })
+	return out
+}
+
+func drawFaults(random *rand.Rand, d time.Duration, kinds []faultKind, interval time.Duration) []plannedFault {
 	var out []plannedFault
-	for at := time.Duration(0); at < d; at += minInterval + time.Duration(random.Int64N(int64(intervalSpread))) {
+	for at := time.Duration(0); at < d; at += interval + time.Duration(random.Int64N(int64(intervalSpread))) {
 		out = append(out, plannedFault{
-			at: at, kind: faultKinds[random.IntN(len(faultKinds))], target: random.IntN(1 << 20), variant: random.IntN(1 << 20),
+			at: at, kind: kinds[random.IntN(len(kinds))], target: random.IntN(1 << 20), variant: random.IntN(1 << 20),
 			duration: minDuration + time.Duration(random.Int64N(int64(durationSpread))),
 		})
 	}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -138,6 +138,7 @@
 
 	arrivals      map[string][]arrival
 	coldRequests  map[string][]time.Time
+	notices       noticeLedger
 	lostResponses int
 	deadListed    int
 }
@@ -154,6 +155,7 @@
 		plannedStops: map[string]*faultHistory{}, dead: map[string]time.Time{}, serverFaults: map[string]*faultHistory{}, withdrawn: map[string]time.Time{},
 		evacuated: map[string]time.Time{}, domains: map[string]string{}, routeChangedAt: map[string]time.Time{},
 		firstUse: map[string]time.Time{}, arrivals: map[string][]arrival{}, coldRequests: map[string][]time.Time{},
+		notices: newNoticeLedger(),
 	}
 }
 
@@ -297,6 +299,7 @@
 	}
 	s.received++
 	c.arrivals[r.Service] = append(c.arrivals[r.Service], arrival{r.At, s.received > 1})
+	c.checkNotices(s, r)
 	if r.Rejected {
 		return
 	}
@@ -357,6 +360,7 @@
 	defer c.mu.Unlock()
 	s.ended = true
 	c.checkTime(now, s)
+	c.recordTold(now, s.instance, r)
 	switch {
 	case r.Status < 300:
 		c.counts["served"]++
@@ -433,6 +437,7 @@
 	for service, list := range c.arrivals {
 		c.checkRetries(service, list)
 	}
+	c.checkLimits()
 	for server, list := range c.coldRequests {
 		slices.SortFunc(list, time.Time.Compare)
 		limit := int(coldPerSecond*c.bounds.ColdOver + c.bounds.ColdSlack)
@@ -500,4 +505,5 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.withdrawn, id)
+	c.notices.forget(id)
 }
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -23,6 +23,32 @@
 	return s, standin.BackendRequest{Server: "s", Service: serviceReads, RequestID: id, Method: "POST", Target: "/x", BodySum: "sum", Region: "north", At: at(seconds)}
 }
 
+// limitedServer records requests to a server that has named a limit of 2 a second.
+func limitedServer(c *Checker, r *fleet.Route, perSecond int) {
+	c.SetLimit(at(10), "s", 2)
+	s, _ := request(c, "told", r, 10)
+	c.ResponseReceived(at(10.1), s, standin.Response{Status: 200, Signed: true, Authentic: true, Server: "s", Limited: true})
+	for i := range 6 * perSecond {
+		_, got := request(c, string(rune('a'+i)), r, 11+float64(i)/float64(perSecond))
+		c.RequestReceived(got)
+	}
+}
+
+// pausedServer records requests to a server in the pause that it has asked for.
+func pausedServer(c *Checker, route *fleet.Route, n int) {
+	_, r := request(c, "refused", route, 10)
+	r.Rejected, r.Pause = true, 2*time.Second
+	c.RequestReceived(r)
+	for i := range n {
+		_, r := request(c, string(rune('a'+i)), route, 10.6+float64(i)/10)
+		c.RequestReceived(r)
+	}
+	_, r = request(c, "before", route, 10.4)
+	c.RequestReceived(r)
+	_, r = request(c, "after", route, 12)
+	c.RequestReceived(r)
+}
+
 // Guards against checks that never detect anything. Each invariant is violated
 // once, and each condition under which it does not apply is tested.
 func TestCheckerDetectsViolations(t *testing.T) {
@@ -181,6 +207,38 @@
 				c.RequestReceived(r)
 			}
 		}},
+		{"announced that it leaves", LeavingDeadline, func(c *Checker) {
+			s, _ := request(c, "1", idempotent, 9.9)
+			c.ResponseReceived(at(10), s, standin.Response{Status: 200, Signed: true, Authentic: true, Server: "s", Leaving: true})
+			_, r := request(c, "2", idempotent, 12.6)
+			c.RequestReceived(r)
+		}},
+		{"announced that it leaves, entry instance restarted", "", func(c *Checker) {
+			s, _ := request(c, "1", idempotent, 9.9)
+			c.ResponseReceived(at(10), s, standin.Response{Status: 200, Signed: true, Authentic: true, Server: "s", Leaving: true})
+			c.RecordFault(at(11), "stop", "g", true)
+			c.RecordFault(at(12), "stop", "g", false)
+			_, r := request(c, "2", idempotent, 12.6)
+			c.RequestReceived(r)
+		}},
+		{"announced that it leaves, server restarted", "", func(c *Checker) {
+			s, _ := request(c, "1", idempotent, 9.9)
+			c.ResponseReceived(at(10), s, standin.Response{Status: 200, Signed: true, Authentic: true, Server: "s", Leaving: true})
+			c.ServerRestarted("s")
+			_, r := request(c, "2", idempotent, 12.6)
+			c.RequestReceived(r)
+		}},
+		{"over its limit", ServerRateLimit, func(c *Checker) { limitedServer(c, idempotent, 8) }},
+		{"at its limit", "", func(c *Checker) { limitedServer(c, idempotent, 4) }},
+		{"over its limit, not told", "", func(c *Checker) {
+			c.SetLimit(at(10), "s", 2)
+			for i := range 40 {
+				_, r := request(c, string(rune('a'+i)), idempotent, 14+float64(i)/10)
+				c.RequestReceived(r)
+			}
+		}},
+		{"in a pause", PauseKept, func(c *Checker) { pausedServer(c, idempotent, 3) }},
+		{"few in a pause", "", func(c *Checker) { pausedServer(c, idempotent, 2) }},
 		{"not served after the faults", Recovery, func(c *Checker) {
 			s, _ := request(c, "1", idempotent, 10)
 			c.ResponseReceived(at(10.1), s, refused)
