registry: an entry without the start of a known process names no server

Entries of other writers may lack fields. Such an entry is now as unusable as an unreadable one, until the server writes its own again.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -122,6 +122,9 @@
 	StartTime time.Time
 }
 
+// HasStart reports whether the registration says when the process started.
+func (s BackendServer) HasStart() bool { return s.StartTime.UnixMilli() > 0 }
+
 // Member is the registration of one process of an entry instance.
 type Member struct {
 	ID            string `json:"id"`
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -14,6 +14,8 @@
 	"maps"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/dandelionrack/dandelionrack/pkg/fleet"
 	"github.com/dandelionrack/dandelionrack/pkg/replica"
 )
@@ -244,6 +246,10 @@
 		return Event{Kind: ServerRemoved, Key: row.Key, RowVersion: row.Version}, true
 	}
 	in, err := r.decoder.DecodeServer(row.Key, row.Value)
+	if err == nil && old != nil && old.HasStart() && !in.HasStart() {
+		// Servers always say when they started, so another writer wrote this.
+		err = errors.New("registration lacks the start of the process")
+	}
 	if err != nil {
 		// The last valid registration no longer counts, since this row has
 		// replaced it.
