upstream: test of a late second answer that arrives in two parts

One of the cases that docs/proof.md listed without a test. Passes on the code as it is: bytes that are there before the next request close the connection, later ones are skipped by their id.

--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -236,6 +236,39 @@
 	require.False(t, timing.Reused, "a connection with stray responses is not reused")
 }
 
+// Guards against a late response that is taken for the next one if its parts arrive
+// before and after that request is sent.
+func TestLateResponseInParts(t *testing.T) {
+	const late = "HTTP/1.1 200 OK\r\nId: first\r\nContent-Length: 3\r\n\r\none"
+	for _, first := range []int{0, 1, 20, len(late) - 2} {
+		t.Run(fmt.Sprint(first), func(t *testing.T) {
+			s := startServer(t, func(s *scriptedServer, n int, c *net.TCPConn, r *bufio.Reader) {
+				id, ok := s.read(r)
+				for ; ok; id, ok = s.read(r) {
+					if n == 0 && id != "first" {
+						_, _ = io.WriteString(c, late[first:])
+						time.Sleep(10 * time.Millisecond)
+					}
+					writeResponse(c, id, "body of "+id)
+					if n == 0 && id == "first" {
+						time.Sleep(10 * time.Millisecond)
+						_, _ = io.WriteString(c, late[:first])
+					}
+				}
+			})
+			p := newPool(t)
+			for i, id := range []string{"first", "second", "third"} {
+				response, _, failed := do(t, p, request(s, id))
+				require.Nil(t, failed)
+				require.Equal(t, "body of "+id, string(response.Body))
+				if i == 0 {
+					time.Sleep(30 * time.Millisecond)
+				}
+			}
+		})
+	}
+}
+
 // Guards against reuse of a connection that the server has closed or that has
 // unread stray bytes.
 func TestIdleConnectionIsChecked(t *testing.T) {
