notices: only a success without a limit ends one

A server in need names its limit in its answers; whether it does so in each error is not said. An error or refusal without the header lifted the limit, and the server would have got its full load until the next answer. Found by reading; a row of TestLimitEndsWithALaterResponse shows it.

--- a/pkg/fleet/head.go
+++ b/pkg/fleet/head.go
@@ -20,8 +20,9 @@
 	NotRun bool
 	// Misdirected says that the address now belongs to another server.
 	Misdirected bool
-	// FromBackend says that the response carries the server's signature.
-	FromBackend bool
+	// FromBackend says that the response carries the server's signature, and
+	// Success that its status is a success.
+	FromBackend, Success bool
 	// Leaving says that the server announces that it leaves and wants no new
 	// requests, whatever its registration says.
 	Leaving bool
--- a/pkg/notices/notices.go
+++ b/pkg/notices/notices.go
@@ -83,9 +83,9 @@
 	switch {
 	case head.LimitState == fleet.Limited:
 		r.setLimit(now, true, head.Limit)
-	case head.LimitState == fleet.NoLimit && head.FromBackend && r.Limited && sentAt.After(r.limitAt):
+	case head.LimitState == fleet.NoLimit && head.FromBackend && head.Success && r.Limited && sentAt.After(r.limitAt):
 		// An earlier response may have been overtaken by the one that named the
-		// limit. Refusals are no sign that the need has ended.
+		// limit. Refusals and errors are no sign that the need has ended.
 		r.setLimit(sentAt, false, 0)
 	}
 	return r.Notice != before
--- a/pkg/notices/notices_test.go
+++ b/pkg/notices/notices_test.go
@@ -46,11 +46,11 @@
 }
 
 func limited(perSecond float64) fleet.ResponseHead {
-	return fleet.ResponseHead{FromBackend: true, LimitState: fleet.Limited, Limit: perSecond}
+	return fleet.ResponseHead{FromBackend: true, Success: true, LimitState: fleet.Limited, Limit: perSecond}
 }
 
-// Guards against a limit that is lost to a response which was overtaken, to a refusal
-// or to an unreadable one, and against one that never ends.
+// Guards against a limit that is lost to a response which was overtaken, to a
+// refusal, an error or an unreadable one, and against one that never ends.
 func TestLimitEndsWithALaterResponse(t *testing.T) {
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	b := NewBook()
@@ -59,16 +59,17 @@
 		sentAt int
 		head   fleet.ResponseHead
 	}{
-		{90, fleet.ResponseHead{FromBackend: true}},
+		{90, fleet.ResponseHead{FromBackend: true, Success: true}},
 		{110, fleet.ResponseHead{}},
-		{110, fleet.ResponseHead{FromBackend: true, LimitState: fleet.LimitUnreadable}},
+		{110, fleet.ResponseHead{FromBackend: true}},
+		{110, fleet.ResponseHead{FromBackend: true, Success: true, LimitState: fleet.LimitUnreadable}},
 	} {
 		require.False(t, b.Record(at(200), at(row.sentAt), first, row.head))
 		require.Equal(t, Notice{Limited: true, Limit: 4.6}, b.Of(at(200), first))
 	}
 	require.False(t, b.Of(at(200), second).Limited)
 	require.True(t, b.Record(at(300), at(290), first, limited(5)))
-	require.True(t, b.Record(at(400), at(310), first, fleet.ResponseHead{FromBackend: true}))
+	require.True(t, b.Record(at(400), at(310), first, fleet.ResponseHead{FromBackend: true, Success: true}))
 	require.False(t, b.Of(at(400), first).Limited)
 }
 
@@ -85,7 +86,7 @@
 	now := start.Add(time.Second)
 	require.True(t, passOn(peer, here, now))
 	require.False(t, passOn(here, peer, now.Add(time.Second)), "what comes back is not news")
-	require.True(t, here.Record(now.Add(2*time.Second), now.Add(1900*time.Millisecond), first, fleet.ResponseHead{FromBackend: true}))
+	require.True(t, here.Record(now.Add(2*time.Second), now.Add(1900*time.Millisecond), first, fleet.ResponseHead{FromBackend: true, Success: true}))
 	require.False(t, passOn(peer, here, now.Add(3*time.Second)))
 	require.True(t, passOn(here, peer, now.Add(4*time.Second)))
 	require.False(t, peer.Of(now, first).Limited)
