roster: members that others hear are remembered

Found while checking that the shares of a limit add up. The shares of limits, of cold rates and of the extra retries are computed from the number of known members. An instance reads all members at its start and then exchanges heartbeats with few of them; the rest it forgot after two minutes. In a mesh of 63 instances (3 regions, 3 domains, 7 each; heartbeats only, one virtual second apart) some knew 12 of the 21 members of their region after 120 s, and 16, later 14, of all 63. Each then takes more than its share: with 14 of 63, the extra retries add up to 2.25 times the platform's bound.

Every 20 s an instance asks one of its peers for the ids of the members that it knows, with the time since each was last heard by anyone, and for the whole list if it does not know one of them. Members are forgotten 5 minutes after the last heartbeat to anyone.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -70,6 +70,7 @@
 	rows     *rowEncoder
 	// membersRequestedAt is when a peer was last asked for all members it knows.
 	membersRequestedAt time.Time
+	unknownMembers     bool      // a peer has named members that are not known here
 	started            time.Time // set by New, then read-only
 
 	noticesMu sync.Mutex // guards notices; taken after mu
--- a/pkg/ingress/messages.go
+++ b/pkg/ingress/messages.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/dandelionrack/dandelionrack/pkg/fleet"
 	"github.com/dandelionrack/dandelionrack/pkg/replica"
 	"github.com/dandelionrack/dandelionrack/pkg/roster"
@@ -90,13 +92,19 @@
 	return out
 }
 
-// addKnownMembers adds all known members to a response.
-func (g *Ingress) addKnownMembers(out *wire.ReplicaSync) {
+// addKnownMembers adds all known members to a response; addresses and places only if
+// whole is set.
+func (g *Ingress) addKnownMembers(out *wire.ReplicaSync, whole bool) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, m := range g.roster.Peers(now) {
-		out.Known = append(out.Known, encodeMember(m))
+	for _, k := range g.roster.Known(now) {
+		m := &wire.ReplicaMember{Id: k.ID, Incarnation: k.Incarnation}
+		if whole {
+			m = encodeMember(k.Member)
+		}
+		m.AliveAgeMs = proto.Int64(k.Age.Milliseconds())
+		out.Known = append(out.Known, m)
 	}
 }
 
--- a/pkg/ingress/notices.go
+++ b/pkg/ingress/notices.go
@@ -106,8 +106,8 @@
 	return out
 }
 
-// maxLimitAge bounds the age that a peer may state, so that it fits a duration.
-const maxLimitAge = 24 * time.Hour
+// maxStatedAge bounds the ages that a peer may state, so that they fit a duration.
+const maxStatedAge = 24 * time.Hour
 
 func encodeNotice(r notices.Report) *wire.ServerNotice {
 	out := &wire.ServerNotice{Server: r.ID, Addr: r.Addr, StartMs: r.StartTime, Leaving: r.Leaving, Limited: r.Limited, Limit: r.Limit}
@@ -124,7 +124,7 @@
 		LimitAge: -1,
 	}
 	if n.LimitAgeMs != nil {
-		out.LimitAge = time.Duration(min(n.GetLimitAgeMs(), maxLimitAge.Milliseconds())) * time.Millisecond
+		out.LimitAge = time.Duration(min(n.GetLimitAgeMs(), maxStatedAge.Milliseconds())) * time.Millisecond
 	}
 	return out
 }
--- a/pkg/ingress/peers.go
+++ b/pkg/ingress/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -36,7 +37,8 @@
 	// membersRequestInterval is the minimum time between two requests for all
 	// members that a peer knows. For membersRequestPeriod after its start an
 	// instance makes them to any peer, because instances that start together
-	// learn of each other late; afterwards only to peers not reached before.
+	// learn of each other late; afterwards only to peers not reached before, and
+	// to any other once in roster.RefreshInterval.
 	membersRequestInterval = time.Second
 	membersRequestPeriod   = 10 * time.Second
 )
@@ -169,7 +171,7 @@
 // heartbeat exchanges one heartbeat with a peer and reports whether it succeeded.
 func (g *Ingress) heartbeat(ctx context.Context, l *link, addr string) bool {
 	message := g.syncRequest(l)
-	message.Introduce = g.shouldRequestMembers(l)
+	message.Introduce, message.Refresh = g.membersToRequest(l)
 	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	reply, err := g.callPeer(callCtx, addr, message)
@@ -214,24 +216,46 @@
 		return &wire.Response{Error: "unknown call"}
 	}
 	out := g.syncResponse(g.handleSync(time.Now(), in))
-	if in.GetIntroduce() {
-		g.addKnownMembers(out)
+	if in.GetIntroduce() || in.GetRefresh() {
+		g.addKnownMembers(out, in.GetIntroduce())
 	}
 	return &wire.Response{Reply: &wire.Response_ReplicaSync{ReplicaSync: out}}
 }
 
-// shouldRequestMembers reports whether to ask a peer for all members that it knows.
-// Requests are limited because a list of 300 members takes 30 KB and a new instance
-// has dozens of peers.
-func (g *Ingress) shouldRequestMembers(l *link) bool {
+// membersToRequest returns whether to ask a peer for all members that it knows, or for
+// their ids and ages only. Requests are limited because a list of 300 members takes 30
+// KB and a new instance has dozens of peers.
+func (g *Ingress) membersToRequest(l *link) (all, refresh bool) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if l.reached && now.Sub(g.started) > membersRequestPeriod || now.Sub(g.membersRequestedAt) < membersRequestInterval {
-		return false
+	since := now.Sub(g.membersRequestedAt)
+	routine := l.reached && now.Sub(g.started) > membersRequestPeriod
+	switch {
+	case since < membersRequestInterval, routine && since < roster.RefreshInterval && !g.unknownMembers:
+		return false, false
+	case routine && rand.IntN(max(1, len(g.links))) > 0:
+		return false, false // all links get their turn
 	}
 	g.membersRequestedAt = now
-	return true
+	all = !routine || g.unknownMembers
+	g.unknownMembers = false
+	return all, !all
+}
+
+// recordKnown records the members that a peer knows. The caller holds mu.
+func (g *Ingress) recordKnown(now time.Time, known []*wire.ReplicaMember) {
+	for _, m := range known {
+		if m == nil || m.GetAliveAgeMs() < 0 || m.GetAliveAgeMs() > maxStatedAge.Milliseconds() {
+			continue
+		}
+		if m.AliveAgeMs == nil {
+			g.roster.Add(now, decodeMember(m)) // says nothing of members that are known
+			continue
+		}
+		k := roster.KnownMember{Member: decodeMember(m), Age: time.Duration(m.GetAliveAgeMs()) * time.Millisecond}
+		g.unknownMembers = !g.roster.Refresh(now, k) || g.unknownMembers
+	}
 }
 
 // handleSync applies a peer's message and returns the table states of the peer.
@@ -246,9 +270,7 @@
 	g.mu.Lock()
 	newPeer := g.roster.RecordHeartbeat(now, from, status)
 	lostFollower := g.roster.LostFollower()
-	for _, m := range in.GetKnown() {
-		g.roster.Add(now, decodeMember(m))
-	}
+	g.recordKnown(now, in.GetKnown())
 	has := decodeStates(in)
 	if l := g.links[from.ID]; l != nil {
 		g.recordTables(now, l, has)
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -53,8 +53,13 @@
 	// unresponsiveTTL is how long a member that missed a heartbeat is avoided
 	// when heartbeat peers are chosen.
 	unresponsiveTTL = 10 * time.Second
-	// memberTTL is how long a member is remembered after its last heartbeat.
-	memberTTL = 2 * time.Minute
+	// memberTTL is how long a member is remembered after its last heartbeat to
+	// anyone. At 540 members, some learn of a heartbeat after 3 minutes; see
+	// RefreshInterval.
+	memberTTL = 5 * time.Minute
+	// RefreshInterval is the time between two requests of a member to one of its
+	// peers for the ids of the members that this one knows. 300 take 10 KB.
+	RefreshInterval = 20 * time.Second
 )
 
 // State is the state of a member.
@@ -86,7 +91,7 @@
 	status            Status
 	lastHeartbeat     time.Time // zero: never
 	refused           bool      // its address refused a connection
-	addedAt           time.Time
+	aliveAt           time.Time // last known to be alive, by its heartbeat to anyone
 	missedHeartbeatAt time.Time // last unanswered heartbeat
 	lostStore         bool      // has followed the store and reported that it no longer does
 }
@@ -125,7 +130,41 @@
 	if old != nil && old.Incarnation >= m.Incarnation {
 		return
 	}
-	r.members[m.ID] = &member{Member: m, addedAt: now}
+	r.members[m.ID] = &member{Member: m, aliveAt: now}
+}
+
+// KnownMember is a member with the time since it was last known to be alive.
+type KnownMember struct {
+	fleet.Member
+	Age time.Duration
+}
+
+// Known returns all members, for a peer that passes them to Refresh.
+func (r *Roster) Known(now time.Time) []KnownMember {
+	var out []KnownMember
+	for _, m := range r.Peers(now) {
+		out = append(out, KnownMember{m, max(0, now.Sub(r.members[m.ID].aliveAt))})
+	}
+	return out
+}
+
+// Refresh records a member that a peer knows. Most members exchange no heartbeats with
+// this one, and are remembered because others do. It reports false if the member is
+// alive and not known here, and k lacks its address.
+func (r *Roster) Refresh(now time.Time, k KnownMember) bool {
+	aliveAt := now.Add(-k.Age)
+	if now.Sub(aliveAt) > memberTTL || k.ID == r.self.ID {
+		return true
+	}
+	r.Add(aliveAt, k.Member)
+	m := r.members[k.ID]
+	if m == nil || m.Incarnation < k.Incarnation {
+		return k.ID == "" || k.PeerAddr != ""
+	}
+	if m.Incarnation == k.Incarnation && aliveAt.After(m.aliveAt) {
+		m.aliveAt = aliveAt
+	}
+	return true
 }
 
 // RecordHeartbeat records a heartbeat of a member and reports whether the member
@@ -146,7 +185,7 @@
 			r.lossReportedAt = now
 		}
 	}
-	known.lastHeartbeat, known.status, known.refused = now, s, false
+	known.lastHeartbeat, known.aliveAt, known.status, known.refused = now, now, s, false
 	return !wasAlive
 }
 
@@ -162,12 +201,12 @@
 	return !m.refused && !m.lastHeartbeat.IsZero() && now.Sub(m.lastHeartbeat) < LivenessTimeout
 }
 
-// Peers returns the other members, alive or not, in id order. It removes members
-// without a heartbeat for memberTTL.
+// Peers returns the other members, alive or not, in id order. It removes those that
+// were not known to be alive for memberTTL.
 func (r *Roster) Peers(now time.Time) []fleet.Member {
 	var out []fleet.Member
 	for id, m := range r.members {
-		if now.Sub(m.lastHeartbeat) > memberTTL && now.Sub(m.addedAt) > memberTTL {
+		if now.Sub(m.aliveAt) > memberTTL {
 			delete(r.members, id)
 			continue
 		}
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -272,3 +273,42 @@
 	require.False(t, r.FollowsStore(at(1100*time.Millisecond)))
 	require.False(t, r.LostFollower(), "the region has a follower again")
 }
+
+// Guards against shares of budgets that grow with the age of an instance: it exchanges
+// heartbeats with few of the others, and forgot the rest after memberTTL. With 63
+// members, some knew 14. Guards also against dead members that are remembered for ever.
+func TestMembersAreRemembered(t *testing.T) {
+	m := newMesh(3, 3, 7)
+	pick := random()
+	refreshAt := map[string]time.Time{}
+	now, ids := epoch, slices.Sorted(maps.Keys(m.rosters))
+	run := func(until time.Time, check func()) {
+		for ; now.Before(until); now = now.Add(2 * time.Second) {
+			m.exchangeHeartbeats(now)
+			for _, id := range ids {
+				if m.dead[id] || now.Before(refreshAt[id]) {
+					continue
+				}
+				peers := m.rosters[id].HeartbeatPeers(now)
+				if peer := peers[pick.IntN(len(peers))].ID; !m.dead[peer] {
+					refreshAt[id] = now.Add(RefreshInterval)
+					for _, k := range m.rosters[peer].Known(now) {
+						m.rosters[id].Refresh(now, k)
+					}
+				}
+			}
+			check()
+		}
+	}
+	run(epoch.Add(2*memberTTL), func() {
+		for _, id := range ids {
+			size, _ := m.rosters[id].RegionRank(AnyRegion, "server")
+			require.Equal(t, len(ids), size, "%s after %v", id, now.Sub(epoch))
+		}
+	})
+	m.dead[ids[0]] = true
+	run(now.Add(memberTTL+2*time.Second), func() {})
+	for _, id := range ids[1:] {
+		require.NotContains(t, m.rosters[id].Peers(now), m.members[ids[0]])
+	}
+}
