--- a/pkg/upstream/truncated_test.go
+++ b/pkg/upstream/truncated_test.go
@@ -13,7 +13,7 @@
 // Guards against a response that ends within its head, or before the body that it
 // announces, and is delivered as a whole one with an empty or short body.
 func TestTruncatedResponses(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\nId: q\r\nX-Backend-Signature: abc\r\n"
+	const head = "HTTP/1.1 200 OK\r\nId: q\r\nSignature: abc\r\n"
 	for _, row := range []struct {
 		name, response string
 		mustHave       int // bytes without which the response is not whole
