--- a/pkg/httpserver/drain.go
+++ b/pkg/httpserver/drain.go
@@ -18,7 +18,7 @@
 	mu      sync.Mutex
 	queued  []net.Conn
 	stopped bool
-	drained chan struct{} // closed once Accept has returned all queued connections
+	drained chan struct{} // closed once no call of Accept will return a queued connection
 	once    sync.Once
 }
 
@@ -44,12 +44,14 @@
 		return c, nil
 	}
 	if l.stopped {
-		l.once.Do(func() { close(l.drained) })
+		l.setDrained()
 		return nil, net.ErrClosed
 	}
 	return nil, err
 }
 
+func (l *drainListener) setDrained() { l.once.Do(func() { close(l.drained) }) }
+
 // Close closes the socket unless stop has done so.
 func (l *drainListener) Close() error {
 	l.mu.Lock()
@@ -67,6 +69,11 @@
 	if err != nil {
 		return errors.Wrap(err, "stop listening")
 	}
+	select {
+	case <-l.drained:
+		return nil // Serve has ended before
+	default:
+	}
 	l.mu.Lock()
 	l.stopped = true
 	// Accept of the net package holds a lock on the socket while it waits, so the
--- a/pkg/httpserver/httpserver.go
+++ b/pkg/httpserver/httpserver.go
@@ -174,6 +174,9 @@
 // Serve accepts connections until Shutdown, and then returns nil.
 func (s *Server) Serve(l net.Listener) error {
 	l = newDrainListener(l)
+	if d, ok := l.(*drainListener); ok {
+		defer d.setDrained()
+	}
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
--- a/pkg/httpserver/shutdown_test.go
+++ b/pkg/httpserver/shutdown_test.go
@@ -79,6 +79,23 @@
 	}
 }
 
+// Guards against a shutdown that waits for a Serve which has already ended.
+func TestShutdownAfterServeHasEnded(t *testing.T) {
+	b := newShutdownBed(t, 0)
+	var l net.Listener
+	require.Eventually(t, func() bool {
+		b.server.mu.Lock()
+		defer b.server.mu.Unlock()
+		l = b.server.listener
+		return l != nil
+	}, 5*time.Second, time.Millisecond)
+	require.NoError(t, l.Close())
+	require.NoError(t, <-b.served)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	require.NoError(t, b.server.Shutdown(ctx))
+}
+
 const requestHead = "GET /x HTTP/1.1\r\nHost: x\r\n\r\n"
 
 // Guards against a stop that cuts off requests whose connections have been
