--- /dev/null
+++ b/review/standin/case2.go
@@ -0,0 +1,3 @@
+package main
+
+func slowReader(b *Bed, trouble bool) (int, error) { return 0, nil }
--- /dev/null
+++ b/review/standin/client.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Reply is what a client sees of one attempt.
+type Reply struct {
+	Status  int // 0: the connection ended without an answer
+	Signed  bool
+	Body    string
+	Whole   bool // the answer looks complete to the client
+	SentAt  time.Time
+	EndedAt time.Time
+	Err     error
+}
+
+// Send makes one attempt on a new connection: one request with a body of size
+// bytes, and its answer.
+func Send(addr, method, path, id, object string, size int, limit time.Duration) Reply {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return Reply{Err: err, EndedAt: time.Now()}
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(limit + time.Second))
+	written := make(chan error, 1)
+	rep := Reply{}
+	go func() {
+		_, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nCookie: X-Affinity-Key=%s\r\nX-Request-Deadline: %d\r\nContent-Length: %d\r\n\r\n",
+			method, path, host, id, object, limit.Milliseconds(), size)
+		if err == nil {
+			_, err = c.Write(make([]byte, size))
+		}
+		written <- err
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
+	select {
+	case <-written:
+	default:
+	}
+	if err != nil {
+		rep.Err, rep.EndedAt = err, time.Now()
+		return rep
+	}
+	data, err := io.ReadAll(resp.Body)
+	rep.Status, rep.Signed, rep.Body, rep.Whole, rep.Err, rep.EndedAt = resp.StatusCode, resp.Header.Get("X-Backend-Signature") != "", string(data), err == nil, err, time.Now()
+	return rep
+}
