--- a/review/standin/bed.go
+++ b/review/standin/bed.go
@@ -30,7 +30,8 @@
 
 // Bed is a deployment.
 type Bed struct {
-	Dir, Root string // temporary folder, root of the repository
+	Dir, Root string            // temporary folder, root of the repository
+	Zones     map[string]string // to regions
 	Ports     map[string]int
 	Store     *Store
 	Nodes     []*Node
@@ -54,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &Bed{Dir: dir, Root: root, Ports: map[string]int{}, record: record, start: time.Now()}
+	b := &Bed{Dir: dir, Root: root, Ports: map[string]int{}, Zones: zones, record: record, start: time.Now()}
 	for _, name := range []string{"front", "ready", "control", "directory"} {
 		if b.Ports[name], err = freePort(); err != nil {
 			return nil, err
@@ -131,8 +132,12 @@
 func (b *Bed) StartNodes(count int) error {
 	for i := range count {
 		zone := zoneNames[i%len(zoneNames)]
+		link, err := newLink(b.Store.Addr)
+		if err != nil {
+			return err
+		}
 		b.Nodes = append(b.Nodes, &Node{
-			Name: fmt.Sprintf("edge-%s-%d", zone, 1+i/len(zoneNames)), IP: fmt.Sprintf("127.0.0.%d", 11+i), Zone: zone, Region: zones[zone], bed: b,
+			Name: fmt.Sprintf("edge-%s-%d", zone, 1+i/len(zoneNames)), IP: fmt.Sprintf("127.0.0.%d", 11+i), Zone: zone, Region: b.Zones[zone], bed: b, link: link,
 		})
 	}
 	for _, n := range b.Nodes {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(*Bed, bool) (int, error){
 	"1": truncatedAnswer,
 	"3": slowReader,
+	"4": frozenFollower,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/nodes.go
+++ b/review/standin/nodes.go
@@ -17,6 +17,7 @@
 	Name, IP, Zone, Region string
 
 	bed    *Bed
+	link   *Link // to the store
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
@@ -33,7 +34,7 @@
 	}
 	return json.MarshalIndent(map[string]any{
 		"node_name": n.Name, "role": "gate", "machine_class": "edge", "serves": []string{"edge", "directory", "control_plane"},
-		"ip": n.IP, "zone": n.Zone, "region": n.Region, "zones": zones,
+		"ip": n.IP, "zone": n.Zone, "region": n.Region, "zones": n.bed.Zones,
 		"listen":         map[string]string{"front": n.Addr("front"), "ready": n.Addr("ready"), "control": n.Addr("control"), "directory": n.Addr("directory")},
 		"internal_ports": []int{7540, 7555}, "seeds": seeds, "bootstrap": bootstrap, "fault_counted": false,
 		"limits":   map[string]any{"cpu_share": 0.32, "cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
@@ -42,7 +43,7 @@
 		"fault_tolerance": map[string]int{"machines": 1, "zones": 1, "regions": 1},
 		"bounds":          bounds,
 		"provider": map[string]any{
-			"address": n.bed.Store.Addr, "form": "table", "writes_per_s": 400, "reads_per_s": 2000, "tx": "6ms", "part_writes_s": 200,
+			"address": n.link.Addr, "form": "table", "writes_per_s": 400, "reads_per_s": 2000, "tx": "6ms", "part_writes_s": 200,
 			"row_bytes": 65536, "across": false, "history": "20s", "blob_bytes": 8388608, "blob": "25ms", "blob_mb_s": 80.0,
 		},
 	}, "", "  ")
