drgate: log what a planned stop does with connections and requests

The log of an incident around a planned stop could not tell a request that was cut off at the end of the grace period from one whose answer had nowhere to go: neither leaves a line. An instance that stops now logs each request that ends meanwhile with the time since the stop began, answers whose client has no connection any more, its connections by state when the listener closes, and each request without an answer at the end.

--- a/pkg/httpserver/httpserver.go
+++ b/pkg/httpserver/httpserver.go
@@ -65,8 +65,21 @@
 	cfg  Config
 
 	mu       sync.Mutex
-	listener net.Listener           // that Serve uses
-	busy     map[net.Conn]time.Time // connections that are not idle, with the time of their opening
+	listener net.Listener // that Serve uses
+	conns    map[net.Conn]connState
+}
+
+// connState is what a Server knows of an open connection.
+type connState struct {
+	http   http.ConnState
+	opened time.Time
+}
+
+// Connections counts the open connections of a Server.
+type Connections struct {
+	Unused int // no request has been read
+	Idle   int // a response has been sent, and no further request been read
+	Active int // a request is being served
 }
 
 var goZeroSetup sync.Once
@@ -110,7 +123,7 @@
 		cfg.StallTimeout = defaultStallTimeout
 	}
 	s := &Server{
-		cfg: cfg, busy: map[net.Conn]time.Time{},
+		cfg: cfg, conns: map[net.Conn]connState{},
 		http: &http.Server{
 			Handler:           closeConnectionsWhen(cfg.Closing, handler.Serve),
 			ReadHeaderTimeout: readHeaderTimeout,
@@ -124,18 +137,36 @@
 	return s, nil
 }
 
-// track records the connections on which a request may be in flight.
+// track records the state of a connection.
 func (s *Server) track(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		s.busy[c] = time.Now()
-	case http.StateActive:
-		s.busy[c] = time.Time{}
+		s.conns[c] = connState{state, time.Now()}
+	case http.StateActive, http.StateIdle:
+		s.conns[c] = connState{state, s.conns[c].opened}
 	default:
-		delete(s.busy, c)
+		delete(s.conns, c)
+	}
+}
+
+// Connections returns the number of open connections by their state.
+func (s *Server) Connections() Connections {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var n Connections
+	for _, c := range s.conns {
+		switch c.http {
+		case http.StateNew:
+			n.Unused++
+		case http.StateIdle:
+			n.Idle++
+		default:
+			n.Active++
+		}
 	}
+	return n
 }
 
 const (
@@ -151,8 +182,8 @@
 	inFlight := func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		for _, opened := range s.busy {
-			if opened.IsZero() || time.Since(opened) < firstRequestTimeout {
+		for _, c := range s.conns {
+			if c.http == http.StateActive || c.http == http.StateNew && time.Since(c.opened) < firstRequestTimeout {
 				return true
 			}
 		}
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -82,6 +82,8 @@
 	document          atomic.Pointer[fleet.Document]
 	serversKnown      atomic.Bool
 	leaving           atomic.Bool
+	stopBegan         atomic.Pointer[time.Time] // set before leaving
+	inFlight          inFlight
 	following         atomic.Bool      // reads the store for its region
 	followers         []*tableFollower // one for each replicated table; read-only after New
 	pushRequested     chan struct{}
@@ -291,6 +293,7 @@
 func (g *Ingress) stop(s *localServers) {
 	started := time.Now()
 	grace := g.instance.Load().Bounds.Grace
+	g.stopBegan.Store(&started)
 	g.leaving.Store(true)
 	g.log.write(hclog.Info, "stopping: removed from lookup responses", "grace", grace)
 	g.updateStatus(started)
@@ -304,9 +307,16 @@
 	}()
 	wait := min(leaveWaitTTLs*g.settings.LookupTTL.Std()+leaveMargin, grace/2)
 	time.Sleep(wait)
+	open := s.clients.Connections()
+	g.log.write(hclog.Info, "stopping: listener for clients closes", "after_ms", time.Since(started).Milliseconds(),
+		"unused", open.Unused, "idle", open.Idle, "active", open.Active, "requests", g.inFlight.count())
 	if err := s.clients.Shutdown(deadline); err != nil {
 		g.log.write(hclog.Error, "requests were still in flight at the end of the grace period", "error", err)
 	}
+	for _, r := range g.inFlight.all() {
+		g.log.writeLimited("cut off", hclog.Error, "request cut off by the end of the process", "request", r.head.ID,
+			"age_ms", time.Since(r.arrived).Milliseconds(), "arrived_after_stop_ms", r.arrived.Sub(started).Milliseconds())
+	}
 	<-unregistered
 	for _, other := range s.others {
 		if err := other.Shutdown(deadline); err != nil {
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -96,7 +96,11 @@
 func (g *Ingress) handleRequest(w http.ResponseWriter, hr *http.Request) {
 	g.metrics.requests.Add(1)
 	r := &request{g: g, http: hr, head: g.protocol.ReadRequest(hr.Header), arrived: time.Now(), doc: g.document.Load()}
-	defer func() { g.bodyBudget.Release(r.acquired) }()
+	g.inFlight.add(r)
+	defer func() {
+		g.inFlight.remove(r)
+		g.bodyBudget.Release(r.acquired)
+	}()
 	rep := r.serve(w)
 	g.finish(w, r, rep)
 }
@@ -242,8 +246,11 @@
 }
 
 func (g *Ingress) logRequest(r *request, rep reply, took time.Duration) {
+	// A success is logged at a higher level if the client cannot receive it, or if
+	// the instance is stopping.
+	stopBegan := g.stopBegan.Load()
 	level := hclog.Info
-	if rep.response != nil && rep.response.Status < http.StatusBadRequest {
+	if rep.response != nil && rep.response.Status < http.StatusBadRequest && !r.clientLeft() && stopBegan == nil {
 		level = hclog.Debug
 	}
 	if !g.log.enabled(level) {
@@ -269,5 +276,13 @@
 	if rep.cause != nil {
 		args = append(args, "error", rep.cause)
 	}
-	g.log.writeLimited("end "+rep.outcome+" "+rep.reason, level, "request ended", args...)
+	kind := "end " + rep.outcome + " " + rep.reason
+	if r.clientLeft() {
+		args = append(args, "client_left", true)
+		kind += " client left"
+	}
+	if stopBegan != nil {
+		args = append(args, "arrived_after_stop_ms", r.arrived.Sub(*stopBegan).Milliseconds())
+	}
+	g.log.writeLimited(kind, level, "request ended", args...)
 }
