httpserver: a shutdown closes connections only between requests

And a connection that had carried no request stayed usable until the end of the grace period, as long as any other request was in flight.

Cause: Shutdown called SetKeepAlivesEnabled(false) and, later, Shutdown of net/http. Both close connections from outside by their last recorded state. A kept connection is 'idle' until the whole head of its next request has been read, so it is closed while that request is on its way to the handler. A connection without a request is 'new' and closed by neither until it is 5 s old. Class: a resource is closed by its recorded state, while its owner is using it.

Change: a shutdown only moves the read deadline of a connection without a request to the past. Reading then either returns bytes, which restores the deadline, or fails, and net/http closes the connection: the reader decides, and never has both. Connections without a first request get 1 s from their opening, those with a part of a request 1 s from its first byte. Shutdown of net/http is called once no connection is left. 'Connection: close' is now added when the header is written, which SetKeepAlivesEnabled did.

--- a/pkg/httpserver/httpserver.go
+++ b/pkg/httpserver/httpserver.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -67,12 +68,14 @@
 	mu       sync.Mutex
 	listener net.Listener // that Serve uses
 	conns    map[net.Conn]connState
+
+	shuttingDown atomic.Bool
 }
 
 // connState is what a Server knows of an open connection.
 type connState struct {
-	http   http.ConnState
-	opened time.Time
+	http  http.ConnState
+	http2 bool // set once a request has been read
 }
 
 // Connections counts the open connections of a Server.
@@ -122,18 +125,16 @@
 	if cfg.StallTimeout <= 0 {
 		cfg.StallTimeout = defaultStallTimeout
 	}
-	s := &Server{
-		cfg: cfg, conns: map[net.Conn]connState{},
-		http: &http.Server{
-			Handler:           closeConnectionsWhen(cfg.Closing, handler.Serve),
-			ReadHeaderTimeout: readHeaderTimeout,
-			ReadTimeout:       cfg.ReadTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-			TLSConfig:         cfg.TLS,
-		},
-	}
-	s.http.ConnState = s.track
+	s := &Server{cfg: cfg, conns: map[net.Conn]connState{}}
+	s.http = &http.Server{
+		Handler:           s.closeWhenStopping(handler.Serve),
+		ConnState:         s.track,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       cfg.ReadTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		TLSConfig:         cfg.TLS,
+	}
 	return s, nil
 }
 
@@ -143,9 +144,12 @@
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		s.conns[c] = connState{state, time.Now()}
+		s.conns[c] = connState{http: state}
 	case http.StateActive, http.StateIdle:
-		s.conns[c] = connState{state, s.conns[c].opened}
+		s.conns[c] = connState{state, isHTTP2(c)}
+		if inner, ok := unwrap(c); ok && state == http.StateActive {
+			inner.activate()
+		}
 	default:
 		delete(s.conns, c)
 	}
@@ -170,38 +174,83 @@
 }
 
 const (
-	// firstRequestTimeout is how long a new connection may take to send its first
-	// request during a shutdown.
-	firstRequestTimeout = time.Second
-	// busyPollInterval is how often a shutdown looks for requests in flight.
-	busyPollInterval = 5 * time.Millisecond
+	// requestPatience is how long a shutdown waits for the first request of a new
+	// connection, and for the rest of a request of which a part has arrived.
+	requestPatience = time.Second
+	// drainPollInterval is how often a shutdown looks for connections that it can
+	// close.
+	drainPollInterval = 5 * time.Millisecond
 )
 
-// awaitRequests waits until no request is in flight.
-func (s *Server) awaitRequests(ctx context.Context) {
-	inFlight := func() bool {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for _, c := range s.conns {
-			if c.http == http.StateActive || c.http == http.StateNew && time.Since(c.opened) < firstRequestTimeout {
-				return true
-			}
+// expireIdle lets connections without a request end, and reports whether connections
+// are left. Idle HTTP/2 connections are left to http.Server.Shutdown, which tells the
+// client.
+func (s *Server) expireIdle(now time.Time) (left bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c, state := range s.conns {
+		if state.http2 && state.http == http.StateIdle {
+			continue
+		}
+		left = true
+		if inner, ok := unwrap(c); ok && state.http != http.StateActive {
+			inner.expire(now, requestPatience)
 		}
-		return false
-	}
-	for inFlight() && wait.Sleep(ctx, busyPollInterval) == nil {
 	}
+	return left
 }
 
-func closeConnectionsWhen(closing func() bool, next http.HandlerFunc) http.Handler {
+// closeWhenStopping makes each response the last one of its connection once the
+// server is about to stop.
+func (s *Server) closeWhenStopping(next http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if closing != nil && closing() {
-			w.Header().Set("Connection", "close")
-		}
-		next(w, r)
+		rw := &responseWriter{ResponseWriter: w, stopping: s.stopping}
+		next(rw, r)
+		rw.prepare() // net/http writes the header if the handler has not
 	})
 }
 
+func (s *Server) stopping() bool {
+	return s.shuttingDown.Load() || s.cfg.Closing != nil && s.cfg.Closing()
+}
+
+// responseWriter adds "Connection: close" to the header if the server is stopping when
+// the header is written, which may be long after the request has arrived.
+type responseWriter struct {
+	http.ResponseWriter
+	stopping func() bool
+	written  bool // the final header
+}
+
+// prepare completes the header before it is written.
+func (w *responseWriter) prepare() {
+	if !w.written && w.stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	w.written = true
+}
+
+func (w *responseWriter) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		w.prepare()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *responseWriter) Write(p []byte) (int, error) {
+	w.prepare()
+	return w.ResponseWriter.Write(p)
+}
+
+// Flush implements http.Flusher.
+func (w *responseWriter) Flush() {
+	w.prepare()
+	_ = http.NewResponseController(w.ResponseWriter).Flush() // fails only if the client has disconnected
+}
+
+// Unwrap supports http.ResponseController.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // Serve accepts connections until Shutdown, and then returns nil.
 func (s *Server) Serve(l net.Listener) error {
 	l = newDrainListener(l)
@@ -211,7 +260,7 @@
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
-	l = stallListener{limitConnections(l, s.cfg.MaxConnections), s.cfg.StallTimeout}
+	l = connListener{limitConnections(l, s.cfg.MaxConnections), s.cfg.StallTimeout}
 	var err error
 	if s.cfg.TLS != nil {
 		err = s.http.ServeTLS(l, "", "")
@@ -224,23 +273,26 @@
 	return errors.Wrapf(err, "serve %s", s.cfg.Name)
 }
 
-// Shutdown closes the listener and waits until no request is in flight. Connections
-// that were established before are served.
+// Shutdown closes the listener and waits until no connection is left. Connections that
+// were established before are served; each ends with its next response, or at once if
+// no request is on its way. A request is never read and then dropped. When ctx ends,
+// the remaining connections are closed.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.shuttingDown.Store(true)
 	s.mu.Lock()
 	l, ok := s.listener.(*drainListener)
 	s.mu.Unlock()
-	// Shutdown of net/http closes connections whose request it has just read, so it
-	// is called when there are no requests any more. Until then each connection ends
-	// with its next response.
-	s.http.SetKeepAlivesEnabled(false)
 	var err error
 	if ok {
 		err = l.stop(ctx)
 	}
-	s.awaitRequests(ctx)
+	for s.expireIdle(time.Now()) && wait.Sleep(ctx, drainPollInterval) == nil {
+	}
+	// http.Server.Shutdown drops requests that it has just read, so it is called when
+	// no connection is left that could bring one.
 	if shutdownErr := s.http.Shutdown(ctx); shutdownErr != nil {
 		err = shutdownErr
+		_ = s.http.Close() // closes what Shutdown has left open
 	}
 	if err != nil {
 		return errors.Wrapf(err, "shut down %s", s.cfg.Name)
--- a/pkg/httpserver/shutdown_kept_test.go
+++ b/pkg/httpserver/shutdown_kept_test.go
@@ -56,7 +56,7 @@
 	<-b.begun
 	time.Sleep(50 * time.Millisecond) // both are accepted
 	done := b.shutdown()
-	require.NoError(t, unused.SetReadDeadline(time.Now().Add(firstRequestTimeout+time.Second)))
+	require.NoError(t, unused.SetReadDeadline(time.Now().Add(requestPatience+time.Second)))
 	_, err := unused.Read(make([]byte, 1))
 	require.ErrorIs(t, err, io.EOF)
 	close(b.proceed)
@@ -72,7 +72,7 @@
 	time.Sleep(50 * time.Millisecond) // it is accepted
 	started := time.Now()
 	require.NoError(t, <-b.shutdown())
-	require.Less(t, time.Since(started), firstRequestTimeout+500*time.Millisecond)
+	require.Less(t, time.Since(started), requestPatience+500*time.Millisecond)
 	require.NoError(t, <-b.served)
 }
 
