drgate: a stopping instance takes only requests that it can answer

Callers saw: a request that came late in the grace period of a planned stop was passed on to a backend server, and its connection was closed at the end without an answer, among them requests that must not be repeated (LOST).

Cause: admission did not know of the stop. The end of the listener was the only limit, but connections that were open before bring requests later: the first one of a connection, a head or a body that arrives slowly, or one sent at the moment at which the listener closes. A request was taken with its full time limit whatever time the process had left, the backend server was told that limit, and requests in flight at the end were dropped with the process. Class: work is accepted without asking whether its executor lives until its end.

Change: a stop has a schedule. A request that has not been sent yet is rejected as not run if its deadline lies beyond the time at which replies must be written; one that may be repeated is still taken while half of the grace period is left. Backend servers get a deadline that lets their own response arrive before the process ends. What is in flight then gets a final reply instead of a closed connection: 504 if it was sent, else 503. Reason 'stopping' in log and metrics.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -82,11 +82,15 @@
 	document          atomic.Pointer[fleet.Document]
 	serversKnown      atomic.Bool
 	leaving           atomic.Bool
-	stopBegan         atomic.Pointer[time.Time] // set before leaving
+	stopping          atomic.Pointer[stopSchedule] // nil unless a planned stop has begun; set before leaving
 	inFlight          inFlight
-	following         atomic.Bool      // reads the store for its region
-	followers         []*tableFollower // one for each replicated table; read-only after New
-	pushRequested     chan struct{}
+	// abandoned ends when requests in flight must get their final reply, because the
+	// process ends. abandon ends it.
+	abandoned     context.Context
+	abandon       context.CancelFunc
+	following     atomic.Bool      // reads the store for its region
+	followers     []*tableFollower // one for each replicated table; read-only after New
+	pushRequested chan struct{}
 }
 
 // storeClient is a store client with the address that it was built for.
@@ -123,6 +127,7 @@
 	for _, table := range replicatedTables {
 		g.followers = append(g.followers, newTableFollower(g, table))
 	}
+	g.abandoned, g.abandon = context.WithCancel(context.Background())
 	g.roster = roster.New(g.self)
 	g.backends.OnOpen = func() { g.metrics.connections.Add(1) }
 	g.setInstance(o.Instance)
@@ -275,56 +280,3 @@
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(body) // fails only if the client has disconnected
 }
-
-const (
-	// leaveWaitTTLs is how long a stopping instance keeps accepting clients that
-	// hold an earlier lookup response, in lookup TTLs: some clients cache a
-	// response for three times its TTL.
-	leaveWaitTTLs = 3
-	// leaveMargin is added for the lookup itself.
-	leaveMargin = 200 * time.Millisecond
-	// killMargin is the time before SIGKILL at which requests in flight are
-	// abandoned.
-	killMargin = 300 * time.Millisecond
-)
-
-// stop removes the instance from lookup responses, waits until clients have stopped
-// using it, and lets requests in flight finish.
-func (g *Ingress) stop(s *localServers) {
-	started := time.Now()
-	grace := g.instance.Load().Bounds.Grace
-	g.stopBegan.Store(&started)
-	g.leaving.Store(true)
-	g.log.write(hclog.Info, "stopping: removed from lookup responses", "grace", grace)
-	g.updateStatus(started)
-	g.pushNow()
-	deadline, cancel := context.WithDeadline(context.Background(), started.Add(grace-killMargin))
-	defer cancel()
-	unregistered := make(chan struct{})
-	go func() {
-		defer close(unregistered)
-		g.unregister(deadline)
-	}()
-	wait := min(leaveWaitTTLs*g.settings.LookupTTL.Std()+leaveMargin, grace/2)
-	time.Sleep(wait)
-	open := s.clients.Connections()
-	g.log.write(hclog.Info, "stopping: listener for clients closes", "after_ms", time.Since(started).Milliseconds(),
-		"unused", open.Unused, "idle", open.Idle, "active", open.Active, "requests", g.inFlight.count())
-	if err := s.clients.Shutdown(deadline); err != nil {
-		g.log.write(hclog.Error, "requests were still in flight at the end of the grace period", "error", err)
-	}
-	for _, r := range g.inFlight.all() {
-		g.log.writeLimited("cut off", hclog.Error, "request cut off by the end of the process", "request", r.head.ID,
-			"age_ms", time.Since(r.arrived).Milliseconds(), "arrived_after_stop_ms", r.arrived.Sub(started).Milliseconds())
-	}
-	<-unregistered
-	for _, other := range s.others {
-		if err := other.Shutdown(deadline); err != nil {
-			g.log.write(hclog.Warn, "listener did not close in time", "error", err)
-		}
-	}
-	if err := g.peerServer.Shutdown(deadline); err != nil {
-		g.log.write(hclog.Warn, "peers' listener did not close in time", "error", err)
-	}
-	g.log.write(hclog.Info, "stopped", "after", time.Since(started))
-}
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -48,6 +48,7 @@
 	reasonRetryBudget  = "retry_budget"
 	reasonAttempts     = "attempts"
 	reasonTimeout      = "timeout"
+	reasonStopping     = "stopping"
 	reasonConnection   = "connection_lost"
 	reasonClientLeft   = "client_left"
 	outcomeAnswered    = "answered"
@@ -142,15 +143,36 @@
 	r.deadline = r.arrived.Add(limit)
 }
 
-// context returns a context that ends at the deadline. For idempotent requests it
-// also ends when the client disconnects; cancelling another request midway would
-// leave unknown whether it took effect.
+// context returns a context that ends at the deadline, or when the process is about to
+// end. For idempotent requests it also ends when the client disconnects; cancelling
+// another request midway would leave unknown whether it took effect.
 func (r *request) context() (context.Context, context.CancelFunc) {
 	ctx := r.http.Context()
 	if !r.route.Idempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
-	return context.WithDeadline(ctx, r.deadline)
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	stop := context.AfterFunc(r.g.abandoned, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// serverDeadline returns the deadline to pass on to a backend server.
+func (r *request) serverDeadline() time.Time {
+	if stop := r.g.stopping.Load(); stop != nil {
+		return stop.serverDeadline(r.deadline)
+	}
+	return r.deadline
+}
+
+// endReason returns why the request's context has ended while its client is there.
+func (r *request) endReason() string {
+	if r.g.abandoned.Err() != nil {
+		return reasonStopping
+	}
+	return reasonTimeout
 }
 
 // object returns the object of a sticky route, else "".
@@ -248,9 +270,9 @@
 func (g *Ingress) logRequest(r *request, rep reply, took time.Duration) {
 	// A success is logged at a higher level if the client cannot receive it, or if
 	// the instance is stopping.
-	stopBegan := g.stopBegan.Load()
+	stop := g.stopping.Load()
 	level := hclog.Info
-	if rep.response != nil && rep.response.Status < http.StatusBadRequest && !r.clientLeft() && stopBegan == nil {
+	if rep.response != nil && rep.response.Status < http.StatusBadRequest && !r.clientLeft() && stop == nil {
 		level = hclog.Debug
 	}
 	if !g.log.enabled(level) {
@@ -281,8 +303,8 @@
 		args = append(args, "client_left", true)
 		kind += " client left"
 	}
-	if stopBegan != nil {
-		args = append(args, "arrived_after_stop_ms", r.arrived.Sub(*stopBegan).Milliseconds())
+	if stop != nil {
+		args = append(args, "arrived_after_stop_ms", r.arrived.Sub(stop.began).Milliseconds())
 	}
 	g.log.writeLimited(kind, level, "request ended", args...)
 }
--- a/pkg/ingress/steer.go
+++ b/pkg/ingress/steer.go
@@ -19,6 +19,9 @@
 // certainly did not run.
 func (r *request) forward(ctx context.Context) reply {
 	for {
+		if stop := r.g.stopping.Load(); stop != nil && r.possibleRuns == 0 && !stop.accepts(time.Now(), r.deadline, r.route.Idempotent) {
+			return r.finalReply(reasonStopping, nil, minRetryAfter)
+		}
 		choice, refusal := r.choose()
 		if refusal != nil {
 			return r.noServerReply(refusal)
@@ -60,7 +63,7 @@
 	return placement.Request{
 		Service: r.service, Class: r.route.Name, Object: r.object(),
 		AllowedRegions: r.route.AllowedRegions, Exclude: exclude,
-		UntilObjective: time.Until(r.arrived.Add(objective)), UntilDeadline: time.Until(r.deadline),
+		UntilObjective: time.Until(r.arrived.Add(objective)), UntilDeadline: time.Until(r.serverDeadline()),
 		InitialServiceTime: r.route.TargetLatency,
 	}
 }
@@ -92,7 +95,7 @@
 	if time.Now().Before(c.Server.ColdUntil) {
 		g.metrics.coldSends.Add(1)
 	}
-	g.protocol.WriteForward(r.header, c.Server.ID, time.Until(r.deadline))
+	g.protocol.WriteForward(r.header, c.Server.ID, time.Until(r.serverDeadline()))
 	x := r.exchange(ctx, c)
 	result := placement.Result{Connect: x.timing.Connect, NewConnection: !x.timing.Reused}
 	var res sendResult
@@ -204,12 +207,13 @@
 	return res
 }
 
-// timeoutReply returns the reply for a request whose deadline has passed.
+// timeoutReply returns the reply for a request whose deadline has passed, or that is
+// still in flight when the process is about to end.
 func (r *request) timeoutReply(sent bool) *reply {
 	if sent || r.possibleRuns > 0 {
-		return &reply{status: http.StatusGatewayTimeout, outcome: outcomeUnknown, reason: reasonTimeout}
+		return &reply{status: http.StatusGatewayTimeout, outcome: outcomeUnknown, reason: r.endReason()}
 	}
-	return &reply{status: http.StatusServiceUnavailable, outcome: outcomeNotRun, reason: reasonTimeout, retryAfter: minRetryAfter}
+	return &reply{status: http.StatusServiceUnavailable, outcome: outcomeNotRun, reason: r.endReason(), retryAfter: minRetryAfter}
 }
 
 // noRetryReason returns why the request is not retried, or "" if it may be.
@@ -222,7 +226,7 @@
 	case r.clientLeft():
 		return reasonClientLeft
 	case ctx.Err() != nil:
-		return reasonTimeout
+		return r.endReason()
 	case r.sendCount > 0 && !r.g.selector.allowRetry(time.Now(), r.service):
 		r.g.metrics.retriesDenied.Add(1)
 		return reasonRetryBudget
