drgate: logging at the end of the process does not panic

A goroutine that wrote a line after the log had been closed sent on a closed channel: the process ended with a panic instead of exit code 0. That could be a request that was still in flight at the end of a planned stop. TestLogAfterClose panicked before. Lines after Close are dropped and counted.

--- a/pkg/ingress/logging.go
+++ b/pkg/ingress/logging.go
@@ -81,6 +81,9 @@
 	lines   chan []byte
 	done    chan struct{}
 	Dropped atomic.Int64
+
+	mu     sync.RWMutex
+	closed bool
 }
 
 // NewAsyncWriter starts writing to the given writer. Close flushes the queue.
@@ -95,8 +98,14 @@
 	return w
 }
 
-// Write queues a copy of the line.
+// Write queues a copy of the line. After Close, lines are dropped.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		w.Dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
@@ -105,11 +114,15 @@
 	return len(line), nil
 }
 
-// Close waits up to 200 ms until the queue is written. Write must not be called
-// afterwards.
+// Close waits up to 200 ms until the queue is written.
 func (w *AsyncWriter) Close() {
 	const flushTimeout = 200 * time.Millisecond
-	close(w.lines)
+	w.mu.Lock()
+	if !w.closed {
+		w.closed = true
+		close(w.lines)
+	}
+	w.mu.Unlock()
 	select {
 	case <-w.done:
 	case <-time.After(flushTimeout):
--- a/pkg/ingress/logging_test.go
+++ b/pkg/ingress/logging_test.go
@@ -52,3 +52,15 @@
 	require.NoError(t, json.Unmarshal([]byte(strings.TrimSpace(out.String())), &line))
 	require.EqualValues(t, 95, line["omitted_before"])
 }
+
+// Guards against a panic at the end of the process when a goroutine still logs.
+func TestLogAfterClose(t *testing.T) {
+	var out bytes.Buffer
+	w := NewAsyncWriter(&out)
+	w.Close()
+	n, err := w.Write([]byte("line\n"))
+	require.NoError(t, err)
+	require.Equal(t, 5, n)
+	require.EqualValues(t, 1, w.Dropped.Load())
+	w.Close()
+}
