upstream: a request whose time has ended is not sent

Callers saw: a request whose body arrived after its time limit was passed on all the same, also if it must not be repeated, with 1 ms as its limit, and ended 504 (may have run) instead of 503 (not run).

Cause: Do watched the context only while it waited for the response; the write won the race against the close.

Change: Do checks the context before it writes and reports the request as not sent.

--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -188,6 +188,10 @@
 	if err != nil {
 		return nil, t, err
 	}
+	if err := ctx.Err(); err != nil {
+		p.drop(r.Addr, c)
+		return nil, t, &Error{Err: errors.Wrap(context.Cause(ctx), "not sent")}
+	}
 	stop := context.AfterFunc(ctx, c.abort)
 	response, reusable, err := c.roundTrip(r, &t)
 	if !stop() {
