httpserver: idle timeout of the document, silent clients, shutdown at the limit

Callers saw: clients that vanish silently kept descriptors for 2 min whatever idle_timeout the document named, and enough of them kept others out.

Cause: net/http takes one fixed idle timeout. At the limit, Accept waits for a connection to end and nothing ends one. Shutdown waited for Accept before it closed idle connections, and took the records of the handshake for a response.

Change: the connection applies the idle timeout that holds when it becomes idle. At the limit, the connection that has carried nothing for the longest time ends for the next one, in the same way as in a shutdown; drgate's clients may use half of the descriptors. A shutdown closes idle connections while it empties the queue. Connections with bytes that wait to be read do not end: a process that was paused finds its requests. The bound of connections moved from x/net/netutil, which hides the socket, to a weighted semaphore.

--- a/pkg/httpserver/conn.go
+++ b/pkg/httpserver/conn.go
@@ -1,28 +1,63 @@
 package httpserver
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sync/semaphore"
+	"golang.org/x/sys/unix"
 )
 
 // stallChunkBytes is the amount of a response that a client must read within the
 // stall timeout. It is small, so that slow clients receive their response.
 const stallChunkBytes = 64 << 10
 
-// connListener returns connections of type *conn.
+// connListener returns connections of type *conn. It bounds how many are open: Accept
+// waits until one is closed.
 type connListener struct {
 	net.Listener
 	stallTimeout time.Duration
+	idleTimeout  func() time.Duration
+
+	slots  *semaphore.Weighted // nil: no bound
+	open   context.Context     // ends with Close
+	cancel context.CancelFunc
+}
+
+func newConnListener(l net.Listener, cfg Config) *connListener {
+	out := &connListener{Listener: l, stallTimeout: cfg.StallTimeout, idleTimeout: cfg.IdleTimeout}
+	out.open, out.cancel = context.WithCancel(context.Background())
+	if cfg.MaxConnections > 0 {
+		out.slots = semaphore.NewWeighted(int64(cfg.MaxConnections))
+	}
+	return out
 }
 
-func (l connListener) Accept() (net.Conn, error) {
+func (l *connListener) Accept() (net.Conn, error) {
+	if l.slots != nil && l.slots.Acquire(l.open, 1) != nil {
+		return nil, net.ErrClosed
+	}
 	c, err := l.Listener.Accept()
 	if err != nil {
+		l.release()
 		return nil, err
 	}
-	return &conn{Conn: c, stallTimeout: l.stallTimeout, opened: time.Now()}, nil
+	return &conn{Conn: c, stallTimeout: l.stallTimeout, idleTimeout: l.idleTimeout, release: sync.OnceFunc(l.release), opened: time.Now()}, nil
+}
+
+func (l *connListener) release() {
+	if l.slots != nil {
+		l.slots.Release(1)
+	}
+}
+
+func (l *connListener) Close() error {
+	l.cancel()
+	return l.Listener.Close()
 }
 
 // conn is a connection of a client.
@@ -32,15 +67,19 @@
 // would cut off the response of a handler that runs longer. A deadline for each
 // response cannot be set through go-zero, which hides the connection.
 //
-// It can also be made to end between two requests; see expire.
+// It also applies the idle timeout, which may change while the server runs, and can be
+// made to end between two requests; see expire.
 type conn struct {
 	net.Conn
 	stallTimeout time.Duration
+	idleTimeout  func() time.Duration
+	release      func() // frees the slot of the listener
 	opened       time.Time
 
 	mu           sync.Mutex
-	used         bool      // a response has been written
-	receivedAt   time.Time // first byte since the opening or the last response; zero: none
+	idle         bool      // between two requests
+	used         bool      // a request has been served
+	receivedAt   time.Time // first byte since the opening or the last write; zero: none
 	readDeadline time.Time // that was set by SetReadDeadline
 	expired      bool      // the read deadline has been moved to the past
 }
@@ -65,7 +104,7 @@
 	// The bytes of the next request may arrive before the last call of Write for a
 	// response has returned.
 	c.mu.Lock()
-	c.used, c.receivedAt = true, time.Time{}
+	c.receivedAt = time.Time{}
 	c.mu.Unlock()
 	written := 0
 	for {
@@ -81,10 +120,16 @@
 	}
 }
 
-// SetReadDeadline takes effect at once unless the connection is expired.
+// SetReadDeadline takes effect at once unless the connection is expired. The idle timeout
+// bounds a deadline that is set while no byte of the next request has arrived.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.idle && c.receivedAt.IsZero() {
+		if idleUntil := time.Now().Add(c.idleTimeout()); t.IsZero() || t.After(idleUntil) {
+			t = idleUntil
+		}
+	}
 	c.readDeadline = t
 	if c.expired {
 		return nil
@@ -103,27 +148,36 @@
 // expire makes reading fail, so that net/http closes the connection. It must only be
 // called while no request is being served. A request of which the last byte has been
 // read, or is read at the same time, is served nevertheless: reading either returns
-// bytes or fails, and only the reader closes the connection.
+// bytes or fails, and only the reader closes the connection. Bytes that have arrived and
+// wait to be read prevent it.
 //
 // It has no effect on a connection whose first request, or the rest of whose next
-// one, may be on its way: these get the time until patience has passed.
-func (c *conn) expire(now time.Time, patience time.Duration) {
+// one, may be on its way: these get the time until patience has passed. It reports
+// whether reading will fail.
+func (c *conn) expire(now time.Time, patience time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	since := c.receivedAt
 	if since.IsZero() && !c.used {
 		since = c.opened
 	}
-	if !c.expired && (since.IsZero() || now.Sub(since) >= patience) {
+	if !c.expired && (since.IsZero() || now.Sub(since) >= patience) && !hasInput(c.Conn) {
 		c.expired = c.Conn.SetReadDeadline(now) == nil // it fails if the connection is closed
 	}
+	return c.expired
 }
 
-// activate undoes expire when a request begins to be served.
-func (c *conn) activate() {
+// setIdle records whether the connection is between two requests. It undoes expire when
+// a request begins to be served.
+func (c *conn) setIdle(idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unexpire()
+	c.idle = idle
+	if idle {
+		c.used = true
+	} else {
+		c.unexpire()
+	}
 }
 
 func (c *conn) unexpire() {
@@ -133,6 +187,50 @@
 	}
 }
 
+// Close closes the connection and frees its slot.
+func (c *conn) Close() error {
+	defer c.release()
+	return c.Conn.Close()
+}
+
+// hasInput reports whether bytes have arrived that were not read.
+func hasInput(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	// Not raw.Read, which waits for a reader that is blocked.
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT) // fails if there are none
+	})
+	return err == nil && n > 0
+}
+
+type connKey struct{}
+
+// withConn adds a connection to the context of its requests.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	inner, ok := unwrap(c)
+	if !ok {
+		return ctx
+	}
+	return context.WithValue(ctx, connKey{}, inner)
+}
+
+// InterruptRead makes reading the body of a request fail, which has this context. The
+// handler can still respond; the connection should not be used again.
+func InterruptRead(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		_ = c.SetReadDeadline(time.Now()) // fails if the connection is closed, as reading does then
+	}
+}
+
 // unwrap returns the connection below TLS.
 func unwrap(c net.Conn) (*conn, bool) {
 	if t, ok := c.(*tls.Conn); ok {
--- a/pkg/httpserver/httpserver.go
+++ b/pkg/httpserver/httpserver.go
@@ -30,7 +30,8 @@
 	// defaultStallTimeout limits stalled writes. Without a limit, a client that
 	// stops reading would hold its response in memory and block Shutdown.
 	defaultStallTimeout = 30 * time.Second
-	idleTimeout         = 2 * time.Minute
+	defaultIdleTimeout  = 2 * time.Minute
+	maxIdleTimeout      = time.Hour
 	maxHeaderBytes      = 32 << 10
 )
 
@@ -50,8 +51,13 @@
 	// "Connection: close", so that no connection is idle at the shutdown and no
 	// request is sent on a connection that is being closed.
 	Closing func() bool
-	// MaxConnections bounds open connections; more wait in the accept queue.
+	// MaxConnections bounds open connections; 0 means no bound. At the bound, the
+	// connection that has carried nothing for the longest time is closed for the next
+	// one; if all serve requests, more wait in the accept queue.
 	MaxConnections int
+	// IdleTimeout returns how long a connection may be idle between two requests.
+	// It is called when a connection becomes idle. nil means 2 min.
+	IdleTimeout func() time.Duration
 	// ReadTimeout bounds the time to receive a whole request; 0 means 30 s. It
 	// does not bound the handler.
 	ReadTimeout time.Duration
@@ -75,7 +81,10 @@
 // connState is what a Server knows of an open connection.
 type connState struct {
 	http  http.ConnState
+	since time.Time
 	http2 bool // set once a request has been read
+	// ending is set while the connection has been made to end and is not closed yet.
+	ending bool
 }
 
 // Connections counts the open connections of a Server.
@@ -125,13 +134,17 @@
 	if cfg.StallTimeout <= 0 {
 		cfg.StallTimeout = defaultStallTimeout
 	}
+	if cfg.IdleTimeout == nil {
+		cfg.IdleTimeout = func() time.Duration { return defaultIdleTimeout }
+	}
 	s := &Server{cfg: cfg, conns: map[net.Conn]connState{}}
 	s.http = &http.Server{
 		Handler:           s.closeWhenStopping(handler.Serve),
 		ConnState:         s.track,
+		ConnContext:       withConn,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       cfg.ReadTimeout,
-		IdleTimeout:       idleTimeout,
+		IdleTimeout:       maxIdleTimeout, // conn applies the configured one
 		MaxHeaderBytes:    maxHeaderBytes,
 		TLSConfig:         cfg.TLS,
 	}
@@ -144,15 +157,39 @@
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		s.conns[c] = connState{http: state}
+		s.conns[c] = connState{http: state, since: time.Now()}
 	case http.StateActive, http.StateIdle:
-		s.conns[c] = connState{state, isHTTP2(c)}
-		if inner, ok := unwrap(c); ok && state == http.StateActive {
-			inner.activate()
+		s.conns[c] = connState{http: state, since: time.Now(), http2: isHTTP2(c)}
+		if inner, ok := unwrap(c); ok {
+			inner.setIdle(state == http.StateIdle)
 		}
 	default:
 		delete(s.conns, c)
 	}
+	if n := s.cfg.MaxConnections; n > 0 && len(s.conns) >= n {
+		switch state {
+		case http.StateNew:
+			s.expireOldest(c) // its request is on its way
+		case http.StateIdle:
+			s.expireOldest(nil)
+		}
+	}
+}
+
+// expireOldest lets the connection end that has carried nothing for the longest time,
+// other than except.
+func (s *Server) expireOldest(except net.Conn) {
+	var oldest net.Conn
+	var found connState
+	for c, state := range s.conns {
+		if c != except && state.http != http.StateActive && !state.ending && (oldest == nil || state.since.Before(found.since)) {
+			oldest, found = c, state
+		}
+	}
+	if inner, ok := unwrap(oldest); ok {
+		found.ending = inner.expire(time.Now(), 0)
+		s.conns[oldest] = found
+	}
 }
 
 // Connections returns the number of open connections by their state.
@@ -260,7 +297,7 @@
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
-	l = connListener{limitConnections(l, s.cfg.MaxConnections), s.cfg.StallTimeout}
+	l = newConnListener(l, s.cfg)
 	var err error
 	if s.cfg.TLS != nil {
 		err = s.http.ServeTLS(l, "", "")
@@ -275,18 +312,37 @@
 
 // Shutdown closes the listener and waits until no connection is left. Connections that
 // were established before are served; each ends with its next response, or at once if
-// no request is on its way. A request is never read and then dropped. When ctx ends,
-// the remaining connections are closed.
+// no request is on its way. A request is never read and then dropped. Idle HTTP/2
+// connections are told to end after all others. When ctx ends, the remaining
+// connections are closed.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.shuttingDown.Store(true)
 	s.mu.Lock()
 	l, ok := s.listener.(*drainListener)
 	s.mu.Unlock()
+	// Queued connections may have to wait for others to end.
+	stopped := make(chan error, 1)
+	go func() {
+		if !ok {
+			stopped <- nil
+			return
+		}
+		stopped <- l.stop(ctx)
+	}()
 	var err error
-	if ok {
-		err = l.stop(ctx)
+	listening := true
+	for s.expireIdle(time.Now()) || listening {
+		select {
+		case err = <-stopped:
+			listening = false
+		default:
+		}
+		if wait.Sleep(ctx, drainPollInterval) != nil {
+			break
+		}
 	}
-	for s.expireIdle(time.Now()) && wait.Sleep(ctx, drainPollInterval) == nil {
+	if listening {
+		err = <-stopped
 	}
 	// http.Server.Shutdown drops requests that it has just read, so it is called when
 	// no connection is left that could bring one.
--- a/pkg/httpserver/shutdown_kept_test.go
+++ b/pkg/httpserver/shutdown_kept_test.go
@@ -3,8 +3,15 @@
 import (
 	"bufio"
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
 	"fmt"
 	"io"
+	"math/big"
 	"net"
 	"net/http"
 	"strings"
@@ -127,3 +134,97 @@
 		require.Equal(t, served.Load(), answered.Load())
 	}
 }
+
+// Guards against a stop that waits for idle connections which hold all places of
+// MaxConnections while a further connection is in the accept queue.
+func TestShutdownClosesIdleConnectionsAtTheLimit(t *testing.T) {
+	b := newShutdownBed(t, 1)
+	close(b.proceed)
+	kept := b.open(requestHead)
+	b.readAnswer(bufio.NewReader(kept))
+	queued := b.open(requestHead)
+	time.Sleep(50 * time.Millisecond)
+	started := time.Now()
+	done := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	go func() { done <- b.server.Shutdown(ctx) }()
+	resp, err := http.ReadResponse(bufio.NewReader(queued), nil)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	err2 := <-done
+	require.Less(t, time.Since(started), 2*time.Second, "shutdown: %v; queued: %v", err2, err)
+	require.NoError(t, err)
+	require.NoError(t, err2)
+}
+
+func testCertificate(t *testing.T) tls.Certificate {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "x"}, DNSNames: []string{"x"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	require.NoError(t, err)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
+}
+
+// slowClient delays each write of the client after the first one.
+type slowClient struct {
+	net.Conn
+	writes atomic.Int32
+	gate   chan struct{}
+}
+
+func (s *slowClient) Write(p []byte) (int, error) {
+	if s.writes.Add(1) > 1 {
+		<-s.gate
+	}
+	return s.Conn.Write(p)
+}
+
+// Guards against a stop that closes a TLS connection at once which was accepted before
+// and whose first request is on its way.
+func TestShutdownServesFirstRequestOfTLSConnection(t *testing.T) {
+	for _, name := range []string{"during the handshake", "after the handshake"} {
+		t.Run(name, func(t *testing.T) {
+			s, err := New(Config{Name: "test", TLS: &tls.Config{Certificates: []tls.Certificate{testCertificate(t)}},
+				Fallback: func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "end") }})
+			require.NoError(t, err)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			served := make(chan error, 1)
+			go func() { served <- s.Serve(l) }()
+			raw, err := net.Dial("tcp", l.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = raw.Close() }()
+			slow := &slowClient{Conn: raw, gate: make(chan struct{})}
+			c := tls.Client(slow, &tls.Config{InsecureSkipVerify: true})
+			hs := make(chan error, 1)
+			if name == "after the handshake" {
+				close(slow.gate)
+				require.NoError(t, c.Handshake())
+			} else {
+				go func() { hs <- c.Handshake() }()
+			}
+			time.Sleep(50 * time.Millisecond)
+			done := make(chan error, 1)
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				defer cancel()
+				done <- s.Shutdown(ctx)
+			}()
+			time.Sleep(100 * time.Millisecond) // well below requestPatience
+			if name != "after the handshake" {
+				close(slow.gate)
+				require.NoError(t, <-hs)
+			}
+			_, err = io.WriteString(c, requestHead)
+			require.NoError(t, err)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err)
+			_ = resp.Body.Close()
+			require.NoError(t, <-done)
+		})
+	}
+}
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -201,7 +201,37 @@
 	others  []*httpserver.Server
 }
 
-const metricsListener = "metrics"
+// Names of listeners.
+const (
+	clientListener  = "clients"
+	metricsListener = "metrics"
+)
+
+const (
+	// reservedFiles is the number of descriptors that the platform reserves for files.
+	reservedFiles = 200
+	// clientFileShare is the divisor for the descriptors that clients may use; the
+	// others are for backend servers, peers and the store.
+	clientFileShare = 2
+	// defaultIdleTimeout applies while no document is known.
+	defaultIdleTimeout = 15 * time.Second
+)
+
+// maxClientConnections returns the bound of open connections of clients; 0 for none.
+func maxClientConnections(maxOpenFiles int) int {
+	if maxOpenFiles <= 0 {
+		return 0
+	}
+	return max(1, (maxOpenFiles-reservedFiles)/clientFileShare)
+}
+
+// clientIdleTimeout returns how long a client's connection may be idle.
+func (g *Ingress) clientIdleTimeout() time.Duration {
+	if doc := g.document.Load(); doc != nil && doc.Limits.IdleTimeout > 0 {
+		return doc.Limits.IdleTimeout
+	}
+	return defaultIdleTimeout
+}
 
 func (g *Ingress) listen(group *errgroup.Group) (*localServers, error) {
 	n := g.instance.Load()
@@ -211,7 +241,7 @@
 		routes     []rest.Route
 		fallback   http.HandlerFunc
 	}{
-		{"clients", n.ClientAddr, nil, g.handleRequest},
+		{clientListener, n.ClientAddr, nil, g.handleRequest},
 		{"ready", n.ReadyAddr, []rest.Route{{Method: http.MethodGet, Path: g.protocol.ReadyPath(), Handler: g.handleReady}}, nil},
 		{"directory", n.DirectoryAddr, []rest.Route{{Method: http.MethodGet, Path: g.protocol.LookupPath(), Handler: g.handleLookup}}, nil},
 		{metricsListener, n.MetricsAddr, nil, g.metrics.handle},
@@ -219,7 +249,11 @@
 		if l.addr == "" {
 			continue
 		}
-		srv, err := httpserver.New(httpserver.Config{Name: l.name, Routes: l.routes, Fallback: l.fallback, Closing: g.leaving.Load})
+		cfg := httpserver.Config{Name: l.name, Routes: l.routes, Fallback: l.fallback, Closing: g.leaving.Load}
+		if l.name == clientListener {
+			cfg.IdleTimeout, cfg.MaxConnections = g.clientIdleTimeout, maxClientConnections(n.MaxOpenFiles)
+		}
+		srv, err := httpserver.New(cfg)
 		if err != nil {
 			return nil, err
 		}
@@ -233,7 +267,7 @@
 			return nil, errors.Wrapf(err, "listen for %s on %s", l.name, l.addr)
 		}
 		group.Go(func() error { return srv.Serve(listener) })
-		if l.name == "clients" {
+		if l.name == clientListener {
 			out.clients = srv
 		} else {
 			out.others = append(out.others, srv)
