drgate: final replies for bodies that do not arrive, and time for other listeners

Cause: the end of the stop reached only requests that were being forwarded, and the listeners were closed one after the other within one deadline, the one for clients first.

Change: reading a body ends with the stop, with 503 (nothing was sent). The other listeners close when the one for clients has closed, or when replies are due, side by side. The schedule of a stop has one latest deadline for servers, which decides about taking a request too: it was taken with no time left in the last 150 ms. Requests that may be repeated are taken without a guarantee only until shortly before the listener closes, whatever the grace period.

--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -12,6 +12,7 @@
 
 	"github.com/dandelionrack/dandelionrack/internal/bytebudget"
 	"github.com/dandelionrack/dandelionrack/pkg/fleet"
+	"github.com/dandelionrack/dandelionrack/pkg/httpserver"
 	"github.com/dandelionrack/dandelionrack/pkg/placement"
 	"github.com/dandelionrack/dandelionrack/pkg/upstream"
 )
@@ -198,7 +199,9 @@
 		return nil
 	}
 	reader := r.g.bodyBudget.NewReader(http.MaxBytesReader(w, r.http.Body, limit))
+	stop := context.AfterFunc(r.g.abandoned, func() { httpserver.InterruptRead(r.http.Context()) })
 	body, err := io.ReadAll(reader)
+	stop()
 	if err == nil {
 		r.body = body
 		return nil
@@ -208,6 +211,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return &reply{status: http.StatusRequestEntityTooLarge, outcome: outcomeClientError, reason: reasonTooLarge}
+	case r.g.abandoned.Err() != nil:
+		return &reply{status: http.StatusServiceUnavailable, outcome: outcomeNotRun, reason: reasonStopping, retryAfter: minRetryAfter}
 	case errors.Is(err, bytebudget.ErrFull):
 		return &reply{status: http.StatusServiceUnavailable, outcome: outcomeNotRun, reason: reasonMemory, retryAfter: startRetryAfter}
 	default:
--- a/pkg/ingress/stop.go
+++ b/pkg/ingress/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -14,53 +15,56 @@
 	leaveWaitTTLs = 3
 	// leaveMargin is added for the lookup itself.
 	leaveMargin = 200 * time.Millisecond
+	// arrivalMargin is the time before the listener closes from which on requests
+	// count as late: a request that was sent when the listener closed, or later, may
+	// seem to have come before, if this process runs late.
+	arrivalMargin = 300 * time.Millisecond
 	// killMargin is the time before SIGKILL at which requests in flight get their
 	// final reply.
 	killMargin = 300 * time.Millisecond
 	// exitMargin is the time before SIGKILL at which the remaining connections are
 	// closed. The difference to killMargin is for writing the replies.
 	exitMargin = 150 * time.Millisecond
-	// returnMargin is the time that the response of a backend server may take on
-	// its way: a round trip between regions takes 110 ms.
+	// returnMargin is the time that the way to a backend server and back may take:
+	// 110 ms between regions. A server counts its deadline from its own receipt.
 	returnMargin = 150 * time.Millisecond
 )
 
 // stopSchedule says when the phases of a planned stop end.
 type stopSchedule struct {
-	began time.Time
-	// listening ends when the listener for clients closes.
-	listening time.Time
-	// requests ends when requests in flight get their final reply.
-	requests time.Time
-	// exit is when the remaining connections are closed.
-	exit time.Time
-	// enough is the time that a request which may be repeated must have until
-	// requests ends, if its own deadline is later.
-	enough time.Duration
+	began       time.Time
+	lateFrom    time.Time // from then on, a request must be sure to end in time
+	listenUntil time.Time
+	serversEnd  time.Time // the latest deadline for backend servers
+	repliesAt   time.Time // requests in flight get their final reply
+	exitAt      time.Time // remaining connections are closed
 }
 
 func newStopSchedule(now time.Time, grace, lookupTTL time.Duration) *stopSchedule {
+	closes := now.Add(min(leaveWaitTTLs*lookupTTL+leaveMargin, grace/2))
+	replies := now.Add(grace - killMargin)
 	return &stopSchedule{
-		began:     now,
-		listening: now.Add(min(leaveWaitTTLs*lookupTTL+leaveMargin, grace/2)),
-		requests:  now.Add(grace - killMargin),
-		exit:      now.Add(grace - exitMargin),
-		enough:    grace / 2,
+		began:       now,
+		lateFrom:    closes.Add(-arrivalMargin),
+		listenUntil: closes,
+		serversEnd:  replies.Add(-returnMargin),
+		repliesAt:   replies,
+		exitAt:      now.Add(grace - exitMargin),
 	}
 }
 
-// accepts reports whether a request that has not been sent yet may be sent. One that
-// must not be repeated is sent only if its deadline comes before the process ends: its
-// client could do nothing about a lost response.
+// accepts reports whether a request that has not been sent yet may be sent: if its
+// deadline comes before the process ends, or if it may be repeated and is not late. The
+// client of one that must not be repeated could do nothing about a lost response.
 func (s *stopSchedule) accepts(now, deadline time.Time, idempotent bool) bool {
-	return !deadline.After(s.requests) || idempotent && s.requests.Sub(now) >= s.enough
+	return now.Before(s.serversEnd) && (!deadline.After(s.serversEnd) || idempotent && now.Before(s.lateFrom))
 }
 
 // serverDeadline returns the deadline to pass on to a backend server, so that its own
 // response arrives while the process still runs.
 func (s *stopSchedule) serverDeadline(deadline time.Time) time.Time {
-	if last := s.requests.Add(-returnMargin); deadline.After(last) {
-		return last
+	if deadline.After(s.serversEnd) {
+		return s.serversEnd
 	}
 	return deadline
 }
@@ -75,16 +79,31 @@
 	g.log.write(hclog.Info, "stopping: removed from lookup responses", "grace", grace)
 	g.updateStatus(schedule.began)
 	g.pushNow()
-	ctx, cancel := context.WithDeadline(context.Background(), schedule.exit)
+	ctx, cancel := context.WithDeadline(context.Background(), schedule.exitAt)
 	defer cancel()
-	abandon := time.AfterFunc(time.Until(schedule.requests), g.abandon)
+	abandon := time.AfterFunc(time.Until(schedule.repliesAt), g.abandon)
 	defer abandon.Stop()
 	unregistered := make(chan struct{})
 	go func() {
 		defer close(unregistered)
 		g.unregister(ctx)
 	}()
-	time.Sleep(time.Until(schedule.listening))
+	// The other listeners serve until the one for clients has closed, and have time to
+	// close if it does not.
+	clientsDone := make(chan struct{})
+	var others sync.WaitGroup
+	for _, other := range s.others {
+		others.Go(func() {
+			select {
+			case <-clientsDone:
+			case <-g.abandoned.Done():
+			}
+			if err := other.Shutdown(ctx); err != nil {
+				g.log.write(hclog.Warn, "listener did not close in time", "error", err)
+			}
+		})
+	}
+	time.Sleep(time.Until(schedule.listenUntil))
 	open := s.clients.Connections()
 	g.log.write(hclog.Info, "stopping: listener for clients closes", "after_ms", time.Since(schedule.began).Milliseconds(),
 		"unused", open.Unused, "idle", open.Idle, "active", open.Active, "requests", g.inFlight.count())
@@ -95,12 +114,9 @@
 		g.log.writeLimited("cut off", hclog.Error, "request cut off by the end of the process", "request", r.head.ID,
 			"age_ms", time.Since(r.arrived).Milliseconds(), "arrived_after_stop_ms", r.arrived.Sub(schedule.began).Milliseconds())
 	}
+	close(clientsDone)
+	others.Wait()
 	<-unregistered
-	for _, other := range s.others {
-		if err := other.Shutdown(ctx); err != nil {
-			g.log.write(hclog.Warn, "listener did not close in time", "error", err)
-		}
-	}
 	if err := g.peerServer.Shutdown(ctx); err != nil {
 		g.log.write(hclog.Warn, "peers' listener did not close in time", "error", err)
 	}
