upstream: a reset never ends a response without a length

Cause: a request body over 32 KiB is written by a goroutine. The kernel reports a reset, or a timeout, to one call only. When the write got the report, the read returned the end of the stream, which readBody took for the end of a body without a length. Nothing asked what the writer saw.

Now confirmEnd decides. It asks for the state of the connection, which, unlike the error, is not taken by the first call (POLLHUP), so it also holds while the writer has not returned, after TCP_USER_TIMEOUT and after a read of SO_ERROR. A server that crashes after it has read all that had arrived ends the connection in order at first, and its kernel resets it at the next bytes of the request. So the end counts if all of the request is acknowledged, or a byte of it after the end (a closed socket resets instead), or if no reset has followed for two round trips and 250 ms. Each failure is an *Error with Sent, as for a response with a length. Bodies with a length and in chunks were right before; the tests cover them too.

TestWholeResponseBeforeEndOfRequest passes before and after.

Not detectable, and not in the tests: a server that ends in the middle of such a response after it has read the whole request; its kernel ends the connection in order.

--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -30,6 +30,7 @@
 	limited     *io.LimitedReader // what r reads from; see limitHead
 	used        bool              // has carried a request before
 	responded   bool              // a response to the current request has begun to arrive
+	unframed    bool              // the body of the response had neither a length nor chunks
 	idleSince   time.Time
 	connectTime time.Duration // time to open the connection, about one round trip
 	expires     time.Time     // from the server's Keep-Alive header
@@ -108,6 +109,13 @@
 	}
 	response, reusable, err := c.readResponse(r, t)
 	c.used = true
+	if err == nil && c.unframed {
+		if err = c.confirmEnd(written); err != nil {
+			release(r.Budget, response.Acquired)
+			return nil, false, &Error{Sent: true, Err: errors.Wrap(err, "incomplete response")}
+		}
+		return response, false, nil
+	}
 	if written != nil {
 		// The server may respond before it has read a long body. It would then
 		// read the rest of that body as the next request.
@@ -235,8 +243,8 @@
 		method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 }
 
-// readBody reads a body to its end. A body without a length is complete if the
-// connection is closed in order; a reset is an error.
+// readBody reads a body to its end. Whether a body without a length is complete is
+// decided by confirmEnd.
 func (c *conn) readBody(r Request, resp *http.Response, noneSkipped bool) (*Response, bool, error) {
 	body, acquired, err := readAll(io.LimitReader(resp.Body, MaxResponseBytes+1), r.Budget)
 	if err != nil {
@@ -247,7 +255,8 @@
 		return nil, false, errors.Errorf("response is larger than %d bytes", MaxResponseBytes)
 	}
 	c.applyKeepAlive(resp.Header.Get("Keep-Alive"))
-	reusable := noneSkipped && !resp.Close && hasKnownEnd(r.Method, resp) && c.r.Buffered() == 0
+	c.unframed = !hasKnownEnd(r.Method, resp)
+	reusable := noneSkipped && !resp.Close && !c.unframed && c.r.Buffered() == 0
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Acquired: acquired}, reusable, nil
 }
 
