sendonce: the end of the connection does not end a response

Callers saw: nothing of drentry's own answers, because pkg/backend refuses responses without a length. But Send delivered a part of such a response as whole, and platform.GetObject returned a part of an object without an error.

Now reading such a body to its end returns ErrUnknownEnd, which is no io.EOF. The head is delivered as before, so a 503 with Not-Run keeps its meaning. GetObject reports ErrUnavailable. JSON shows its own end: rows, the instance list and reports are still read without a length.

The rows with a length and with chunks passed before. go test -race of internal/sendonce, pkg/platform and pkg/backend passes.

--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -17,6 +17,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -31,6 +32,10 @@
 	keepAlivePeriod    = 15 * time.Second
 )
 
+// ErrUnknownEnd is returned at the end of a response body that has neither a length
+// nor chunks: it may be a part of the body.
+var ErrUnknownEnd = errors.New("response has neither a Content-Length nor a chunked body")
+
 // Options configures the connections of a Client.
 type Options struct {
 	// MaxConnections bounds open and opening connections per address; 0 means
@@ -110,7 +115,8 @@
 }
 
 // Send sends the request at most once and returns the response. Each error
-// is an *Error. It does not follow redirects.
+// is an *Error. It does not follow redirects. Reading a body to its end returns
+// ErrUnknownEnd if only the end of the connection delimits it.
 func (c *Client) Send(ctx context.Context, r Request) (*http.Response, error) {
 	var usedConn *countingConn
 	var countBefore uint64
@@ -127,9 +133,33 @@
 		sent := usedConn != nil && usedConn.blockWrites(countBefore)
 		return nil, &Error{Sent: sent, Err: err}
 	}
+	if !hasKnownEnd(r.Method, resp) {
+		resp.Body = unframedBody{resp.Body}
+	}
 	return resp, nil
 }
 
+// hasKnownEnd reports whether the end of the body is known without the connection
+// being closed.
+func hasKnownEnd(method string, resp *http.Response) bool {
+	return resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked") ||
+		method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+}
+
+// unframedBody is a body that only the end of the connection delimits. Its end is
+// reported as ErrUnknownEnd: the kernel reports a reset once, and if the goroutine
+// that writes the request gets the report, net/http takes the end of the stream for
+// the end of the body.
+type unframedBody struct{ io.ReadCloser }
+
+func (b unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		err = ErrUnknownEnd
+	}
+	return n, err
+}
+
 func (r Request) build(ctx context.Context) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, r.Method, r.URL, nil)
 	if err != nil {
--- a/pkg/backend/do.go
+++ b/pkg/backend/do.go
@@ -142,7 +142,7 @@
 	answered <- struct{}{}
 	<-all
 	_, err = io.CopyN(io.Discard, resp.Body, maxDiscardBytes)
-	if err != nil && !errors.Is(err, io.EOF) {
+	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, sendonce.ErrUnknownEnd) {
 		return errors.Wrap(err, "warm connection")
 	}
 	return nil
--- a/pkg/backend/poller.go
+++ b/pkg/backend/poller.go
@@ -199,7 +199,7 @@
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
-	if err != nil {
+	if err != nil && !errors.Is(err, sendonce.ErrUnknownEnd) { // JSON shows its own end
 		return errors.Wrapf(err, "read %s", url)
 	}
 	if resp.StatusCode != http.StatusOK {
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -119,6 +119,9 @@
 		return nil, err
 	}
 	resp, err := c.get(ctx, path)
+	if err == nil && resp.unknownEnd {
+		return nil, errors.Wrapf(ErrUnavailable, "get object: %v", sendonce.ErrUnknownEnd)
+	}
 	return resp.body, wrapNonNil(err, "get object")
 }
 
@@ -164,6 +167,9 @@
 type response struct {
 	status int
 	body   []byte
+	// unknownEnd reports that body may be a part of the response, which only JSON
+	// shows by itself.
+	unknownEnd bool
 }
 
 // write sends a request that changes state. Statuses 200, 204 and 409 are
@@ -238,11 +244,12 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err != nil {
+	unknownEnd := errors.Is(err, sendonce.ErrUnknownEnd)
+	if err != nil && !unknownEnd {
 		return response{}, nil, &sendonce.Error{Sent: true, Err: errors.Wrap(err, "read response")}
 	}
 	if len(data) > maxResponseBytes {
 		return response{}, nil, &sendonce.Error{Sent: true, Err: errors.New("response too large")}
 	}
-	return response{status: resp.StatusCode, body: data}, resp.Header, nil
+	return response{status: resp.StatusCode, body: data, unknownEnd: unknownEnd}, resp.Header, nil
 }
