loadgen: a response without a length is no answer

Seen: a part of a response without a length counted as answered.

Failed before: TestUnframedResponseIsNoAnswer (answered instead of unknown).

--- a/internal/loadgen/caller.go
+++ b/internal/loadgen/caller.go
@@ -185,7 +185,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	if err != nil {
+	if err != nil || !isFramed(r.Method, resp) {
 		return res, true, false
 	}
 	res.Status = resp.StatusCode
@@ -205,6 +205,15 @@
 	return res, true, isFinal(r, res)
 }
 
+// isFramed reports whether the end of the body is known without the connection being
+// closed. An entry instance frames every response; the end of another one cannot be
+// told from a reset.
+func isFramed(method string, resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || method == http.MethodHead ||
+		resp.Uncompressed || // gzip marks its end
+		resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+}
+
 // isFinal reports whether another attempt cannot improve the result. After an
 // unknown outcome the request is sent again with the same key, because another
 // entry instance may have the recorded answer.
