--- a/pkg/upstream/longbody_bench_test.go
+++ b/pkg/upstream/longbody_bench_test.go
@@ -11,9 +11,9 @@
 	"testing"
 )
 
-// BenchmarkDo measures one request with a long request body, with a long response,
+// BenchmarkLongBodies measures one request with a long request body, with a long response,
 // and with a long response without a length, for which a connection is opened.
-func BenchmarkDo(b *testing.B) {
+func BenchmarkLongBodies(b *testing.B) {
 	for _, size := range []int{1 << 10, 1 << 20, 8 << 20} {
 		long := strings.Repeat("x", size)
 		for name, row := range map[string]struct{ body, response string }{
