--- a/pkg/upstream/ending_test.go
+++ b/pkg/upstream/ending_test.go
@@ -14,6 +14,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
+
+	"github.com/dandelionrack/dandelionrack/internal/bytebudget"
 )
 
 const (
@@ -62,9 +64,12 @@
 // requireNoPart fails the test if a part of the body counts as a response.
 func requireNoPart(t *testing.T, s *scriptedServer) {
 	t.Helper()
-	response, _, failed := do(t, newPool(t), longRequest(s))
+	r := longRequest(s)
+	r.Budget = bytebudget.New(longRequestBody)
+	response, _, failed := do(t, newPool(t), r)
 	if assert.NotNil(t, failed, "a part of the response counts as whole: %+v", response) {
 		assert.True(t, failed.Sent, "it may have run")
+		assert.Zero(t, r.Budget.Used(), "the part is given back")
 	}
 }
 
