link stand-in: a reset of the target never becomes an orderly end

Seen: the link passed on a reset as the end of the stream in 4 of some 100 connections that the target reset while the link was writing to it. A scenario could so show an entry instance an orderly end that its server never sent.

The link now asks for the state of the connection. The check moves from pkg/upstream to internal/tcpstate, which both use.

--- a/internal/standin/link/pipe.go
+++ b/internal/standin/link/pipe.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/dandelionrack/dandelionrack/internal/tcpstate"
 )
 
 const (
@@ -37,6 +39,8 @@
 	done             chan struct{}
 	closeOnce        sync.Once
 	droppedBytes     atomic.Bool // reverse bytes were dropped, so the stream has a gap
+	// writeEnded reports for each direction that its writer has ended the stream.
+	writeEnded [2]atomic.Bool
 }
 
 // reset closes both connections immediately with a TCP reset.
@@ -99,7 +103,7 @@
 			due = last
 		}
 		last = due
-		c := chunk{data: slices.Clone(buf[:n]), due: due, end: streamEndOf(err)}
+		c := chunk{data: slices.Clone(buf[:n]), due: due, end: p.streamEndOf(d, src, err)}
 		if !q.push(c) || c.end != endNone {
 			return
 		}
@@ -109,15 +113,28 @@
 	}
 }
 
-func streamEndOf(err error) streamEnd {
-	switch {
-	case err == nil:
+// streamEndOf returns how reading src ended. After a reset whose error the goroutine
+// that writes to src has got, reading returns io.EOF too.
+func (p *proxiedConn) streamEndOf(d direction, src *net.TCPConn, err error) streamEnd {
+	if err == nil {
 		return endNone
-	case errors.Is(err, io.EOF):
-		return endEOF
-	default:
+	}
+	if !errors.Is(err, io.EOF) {
 		return endReset
 	}
+	failed, err := tcpstate.Failed(src)
+	// After the end of both directions a connection looks failed. Then nothing is
+	// written to src, and reading it gets its errors.
+	if p.writeEnded[1-d].Load() || !failed && err == nil {
+		return endEOF
+	}
+	return endReset
+}
+
+// closeWrite ends the stream to dst.
+func (p *proxiedConn) closeWrite(d direction, dst *net.TCPConn) {
+	p.writeEnded[d].Store(true)
+	_ = dst.CloseWrite()
 }
 
 // writeChunks writes each queued chunk to dst when it is due.
@@ -138,7 +155,7 @@
 			return
 		}
 		if c.end == endEOF {
-			_ = dst.CloseWrite()
+			p.closeWrite(d, dst)
 			return
 		}
 	}
@@ -161,15 +178,15 @@
 	n, err := dst.Write(data[:allowed])
 	p.link.count(d, n)
 	if last {
-		p.closeGracefully(dst)
+		p.closeGracefully(d, dst)
 	}
 	return err == nil && !last
 }
 
 // closeGracefully sends FIN and waits, so that the receiver gets all bytes; an
 // immediate reset could discard them.
-func (p *proxiedConn) closeGracefully(dst *net.TCPConn) {
-	_ = dst.CloseWrite()
+func (p *proxiedConn) closeGracefully(d direction, dst *net.TCPConn) {
+	p.closeWrite(d, dst)
 	p.sleep(closeGrace)
 }
 
--- a/pkg/upstream/ending.go
+++ b/pkg/upstream/ending.go
@@ -5,6 +5,8 @@
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/dandelionrack/dandelionrack/internal/tcpstate"
 )
 
 const (
@@ -84,7 +86,11 @@
 		if unacked, err = unix.IoctlGetInt(fd, unix.TIOCOUTQ); err != nil {
 			return err
 		}
-		return checkNotFailed(fd)
+		failed, err := tcpstate.FailedFD(fd)
+		if failed {
+			return errFailedAtEnd
+		}
+		return err
 	})
 	return unacked, err
 }
@@ -104,23 +110,3 @@
 	}
 	return failure
 }
-
-// checkNotFailed returns an error if the connection was reset or timed out. Unlike
-// the error of the socket, which one call takes, POLLHUP stays: it means that the
-// connection is closed in both directions, and only a failure closes ours.
-func checkNotFailed(fd int) error {
-	state := [1]unix.PollFd{{Fd: int32(fd)}}
-	for {
-		_, err := unix.Poll(state[:], 0)
-		if err == nil {
-			break
-		}
-		if err != unix.EINTR { // a signal of the Go scheduler interrupts it
-			return err
-		}
-	}
-	if state[0].Revents&(unix.POLLHUP|unix.POLLERR|unix.POLLNVAL) != 0 {
-		return errFailedAtEnd
-	}
-	return nil
-}
