--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -110,6 +110,7 @@
 	response, reusable, err := c.readResponse(r, t)
 	c.used = true
 	if err == nil && c.unframed {
+		// Reading does not show each reset.
 		if err = c.confirmEnd(written); err != nil {
 			release(r.Budget, response.Acquired)
 			return nil, false, &Error{Sent: true, Err: errors.Wrap(err, "incomplete response")}
@@ -243,8 +244,8 @@
 		method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 }
 
-// readBody reads a body to its end. Whether a body without a length is complete is
-// decided by confirmEnd.
+// readBody reads a body to its end. A body without a length is complete if the
+// connection is closed in order; a reset is an error.
 func (c *conn) readBody(r Request, resp *http.Response, noneSkipped bool) (*Response, bool, error) {
 	body, acquired, err := readAll(io.LimitReader(resp.Body, MaxResponseBytes+1), r.Budget)
 	if err != nil {
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -376,8 +376,8 @@
 	return &conn{nc: nc, tcp: tcp, r: bufio.NewReaderSize(limited, readBuffer), limited: limited, expires: time.Now().Add(time.Hour)}, nil
 }
 
-// discard reads a body to its end. It fails if the body is longer than
-// MaxResponseBytes: its rest would be read as the next response.
+// discard reads a body to its end. A larger body than MaxResponseBytes is an error: its
+// rest would be read as the next response.
 func discard(body io.Reader) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(body, MaxResponseBytes+1))
 	if err == nil && n > MaxResponseBytes {
