upstream: heads of responses count towards the memory budget

Callers saw: where the backend servers of one service send heads with thousands of short lines and do not end them, or stall in the body after such a head, an entry instance takes 319 to 442 MB for 400 requests at a time. The smallest instances have 184 MB; beyond that the platform ends the process, and with it the requests of all other clients.

Cause: a head was bounded by 64 KB of bytes only. Parsed, 64 KB of lines of four bytes take about a megabyte (a map entry and a slice for each), and heads were not counted towards Settings.MaxBufferedBytes, whatever their number.

Fix: the whole head is read into the read buffer, which grows once from 8 to 64 KB, and is checked before it is parsed: at most 64 KB and 256 lines. The enlarged buffer, and the estimated size of a head above 4 KB, are taken out of the budget. Bytes that do not begin with "HTTP/" end the attempt at once instead of after 64 KB.

--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -27,7 +27,8 @@
 // Release returns n bytes to the budget.
 func (b *Budget) Release(n int64) { b.used.Add(-n) }
 
-func (b *Budget) acquire(n int64) bool {
+// Acquire takes n bytes out of the budget, if it suffices.
+func (b *Budget) Acquire(n int64) bool {
 	if b.used.Add(n) > b.limit {
 		b.used.Add(-n)
 		return false
@@ -55,7 +56,7 @@
 	if n == 0 {
 		return 0, err
 	}
-	if !r.budget.acquire(int64(n)) {
+	if !r.budget.Acquire(int64(n)) {
 		return 0, ErrFull
 	}
 	r.acquired += int64(n)
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -202,16 +202,34 @@
 
 // readResponse reads the response that belongs to the request and skips late
 // responses to earlier requests on the connection.
-func (c *conn) readResponse(r Request, t *Timing) (*Response, bool, error) {
+func (c *conn) readResponse(r Request, t *Timing) (response *Response, reusable bool, err error) {
 	c.limitHead()
-	for {
+	memory := headMemory{budget: r.Budget}
+	defer func() {
+		release(r.Budget, memory.buffer)
+		if response == nil {
+			memory.releaseHead()
+			return
+		}
+		response.Acquired += memory.head
+		if reusable {
+			c.shrinkBuffer()
+		}
+	}()
+	for interim := 0; ; {
+		if err := c.bufferHead(&memory); err != nil {
+			return nil, false, errors.Wrap(err, "read answer")
+		}
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, false, errors.Wrap(err, "read answer")
 		}
 		c.responded = true
 		if resp.StatusCode < http.StatusOK {
-			continue // an interim response
+			if interim++; interim > maxInterim {
+				return nil, false, errors.Errorf("more than %d interim responses", maxInterim)
+			}
+			continue
 		}
 		c.limitBody()
 		if r.Matches(resp) {
