bytebudget: large bodies leave a quarter of the budget for small ones

Cause: every body could use the last byte of Settings.MaxBufferedBytes.

Fix: a buffer above 16 KB is acquired only while three quarters of the budget suffice.

Now 400 bodies of 5 KB are read beside stalled ones of 16 KB to 8 MB.

--- a/cmd/drgate/faulty_backend_test.go
+++ b/cmd/drgate/faulty_backend_test.go
@@ -310,6 +310,7 @@
 		"interim responses":               {piece: strings.Repeat("HTTP/1.1 102 P\r\n\r\n", 1000)},
 		"whole body of 8 MB":              {head: ok + "Content-Length: 8388608\r\n\r\n", piece: filler, maxBytes: 8388608},
 		"body of 8 MB stalled":            {head: ok + "Content-Length: 8388608\r\n\r\n", piece: filler, maxBytes: 8<<20 - 32<<10},
+		"body of 130 KB stalled":          {head: ok + "Content-Length: 8388608\r\n\r\n", piece: filler[:10<<10], maxBytes: 130 << 10},
 		"body of 1 MB stalled":            {head: ok + "Content-Length: 8388608\r\n\r\n", piece: filler, maxBytes: 1 << 20},
 		"failed, large bodies":            {head: failure + "Content-Length: 1048576\r\n\r\n", piece: filler, maxBytes: 1 << 20},
 		"body without length":             {head: ok + "\r\n", piece: filler},
--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -19,6 +19,11 @@
 	// maxFirstBuffer bounds the first buffer of a body that announces a length. The
 	// sender may announce much and send little.
 	maxFirstBuffer = 8 << 10
+	// smallBody is the size of a buffer up to which a body may use the whole budget.
+	// Larger ones leave a quarter of it: a few services whose large bodies stall must
+	// not take the memory for all others. Responses of backend servers mostly have
+	// 1.5 to 5 KB.
+	smallBody = 16 << 10
 )
 
 // Budget limits a number of bytes. It is safe for concurrent use.
@@ -38,7 +43,11 @@
 
 // Acquire takes n bytes out of the budget, if it suffices.
 func (b *Budget) Acquire(n int64) bool {
-	if b.used.Add(n) > b.limit {
+	limit := b.limit
+	if n > smallBody {
+		limit -= limit / 4
+	}
+	if b.used.Add(n) > limit {
 		b.used.Add(-n)
 		return false
 	}
--- a/internal/bytebudget/bytebudget_test.go
+++ b/internal/bytebudget/bytebudget_test.go
@@ -69,3 +69,24 @@
 		}
 	}
 }
+
+// Guards against large bodies of one service that stall while they hold the whole
+// budget: the small bodies of all others were refused until they ended.
+func TestLargeBodiesLeaveRoomForSmallOnes(t *testing.T) {
+	const limit, typical = 48 << 20, 5000
+	for _, size := range []int64{smallBody + 1, 20_000, 40_000, 1 << 20, 8 << 20} {
+		b := New(limit)
+		stalled, refused := 0, false
+		for !refused {
+			_, _, err := b.ReadAll(strings.NewReader(strings.Repeat("x", int(size))), size)
+			refused = errors.Is(err, ErrFull)
+			stalled++
+			require.Less(t, stalled, limit)
+		}
+		require.Greater(t, b.Used(), int64(limit)/2, "most of the budget is for large bodies")
+		for range 400 { // requests at a time
+			_, _, err := b.ReadAll(bytes.NewReader(make([]byte, typical)), typical)
+			require.NoError(t, err, "while %d bodies of %d bytes are held", stalled-1, size)
+		}
+	}
+}
