upstream: the rest of a skipped response is not read as a response

Callers saw: bytes out of the body of another request's response as their whole response (200), if a late response of more than 8 MB preceded theirs on a kept connection and held such bytes at that place.

Cause: a late response is skipped up to MaxResponseBytes; a longer one counted as skipped and reading went on in the middle of its body.

Fix: a skipped response of more than MaxResponseBytes ends the attempt.

--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -378,8 +378,12 @@
 	return &conn{nc: nc, tcp: tcp, r: bufio.NewReaderSize(limited, readBuffer), limited: limited, expires: time.Now().Add(time.Hour)}, nil
 }
 
-// discard reads a body to its end, up to MaxResponseBytes.
+// discard reads a body to its end. A larger body than MaxResponseBytes is an error: its
+// rest would be read as the next response.
 func discard(body io.Reader) error {
-	_, err := io.Copy(io.Discard, io.LimitReader(body, MaxResponseBytes))
+	n, err := io.Copy(io.Discard, io.LimitReader(body, MaxResponseBytes+1))
+	if err == nil && n > MaxResponseBytes {
+		return errors.Errorf("response is larger than %d bytes", MaxResponseBytes)
+	}
 	return err
 }
