ingress: the queue of log lines is bounded in bytes

Callers could see: an entry instance runs out of memory while the reader of its log is blocked.

Cause: the queue held 1,024 lines of any length. Lines quote ids and objects of clients (up to 32 KB of headers) and errors of responses (60 KB, several times that when escaped), so that it could hold more than the 184 MB of the smallest instances.

Fix: at most 1 MB is queued beside the line that is being written. Further lines are dropped and counted, as before.

--- a/pkg/ingress/logging.go
+++ b/pkg/ingress/logging.go
@@ -72,14 +72,19 @@
 	return omitted, true
 }
 
-// maxQueuedLines bounds the lines that are queued for a slow reader.
-const maxQueuedLines = 1024
+// Bounds of what is queued for a slow reader. Lines have some 500 bytes, but the ids and
+// objects that clients send, and errors, may take 32 KB or more in each.
+const (
+	maxQueuedLines = 1024
+	maxQueuedBytes = 1 << 20
+)
 
 // AsyncWriter passes lines to a writer without blocking. Lines that do not fit into
 // the queue are dropped and counted.
 type AsyncWriter struct {
 	lines   chan []byte
 	done    chan struct{}
+	queued  atomic.Int64 // bytes
 	Dropped atomic.Int64
 }
 
@@ -90,6 +95,7 @@
 		defer close(w.done)
 		for line := range w.lines {
 			_, _ = to.Write(line) // the log itself has failed
+			w.queued.Add(-int64(len(line)))
 		}
 	}()
 	return w
@@ -97,11 +103,16 @@
 
 // Write queues a copy of the line.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
-	select {
-	case w.lines <- append([]byte(nil), line...):
-	default:
-		w.Dropped.Add(1)
+	size := int64(len(line))
+	if w.queued.Add(size) <= maxQueuedBytes {
+		select {
+		case w.lines <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	w.queued.Add(-size)
+	w.Dropped.Add(1)
 	return len(line), nil
 }
 
