upstream: errors quote little of a malformed response

Operators saw: log lines of 60 KB or more for each attempt at a server that sends malformed heads (3.3 MB of log in 4 s instead of 0.1 MB), written twice for each request.

Cause: errors of net/http quote the whole line, up to 64 KB, escaped up to four times that.

Fix: the text of such an error is cut at 256 bytes. Bytes that do not begin like a head are quoted up to 64 bytes already.

--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -239,7 +239,7 @@
 		}
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method})
 		if err != nil {
-			return nil, false, errors.Wrap(err, "read answer")
+			return nil, false, errors.Wrap(shortenError(err), "read answer")
 		}
 		c.responded = true
 		if resp.StatusCode < http.StatusOK {
--- a/pkg/upstream/head.go
+++ b/pkg/upstream/head.go
@@ -29,6 +29,8 @@
 	headStart = "HTTP/"
 	// maxQuoted bounds the bytes of a server that an error message quotes.
 	maxQuoted = 64
+	// maxParseError bounds the text of an error of net/http, which quotes whole lines.
+	maxParseError = 256
 )
 
 var (
@@ -132,3 +134,11 @@
 		c.r = bufio.NewReaderSize(c.limited, readBuffer)
 	}
 }
+
+// shortenError returns an error of net/http with a bounded text.
+func shortenError(err error) error {
+	if text := err.Error(); len(text) > maxParseError {
+		return errors.New(text[:maxParseError] + "...")
+	}
+	return err
+}
