sendonce: bound the heads of responses

Callers of drentry could see: an entry instance runs out of memory, and the requests of all its callers end with it, when backend servers (or the platform) send a head without end.

Cause: the Transport of net/http permits a head of 10 MB for each response, and any number of lines. pkg/backend, its poller and pkg/platform use it.

Fix: at most 64 KB and 256 lines, interim responses included. The Transport has no limit of lines, so they are counted as they arrive on the connection.

--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -106,6 +106,8 @@
 		MaxConnsPerHost:     o.MaxConnections,
 		MaxIdleConnsPerHost: idle,
 		IdleConnTimeout:     o.IdleTimeout,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
@@ -117,6 +119,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		usedConn, _ = info.Conn.(*countingConn)
 		countBefore = usedConn.writeCount()
+		usedConn.beginResponse()
 	}}
 	req, err := r.build(httptrace.WithClientTrace(ctx, trace))
 	if err != nil {
