entry: bodies of responses count towards the memory limit

Callers of drentry could see: an entry instance runs out of memory, and the requests of all its callers end with it, when backend servers send large responses and stall. Each response may have 4 MB, and hundreds are in flight.

Cause: max_buffered_bytes counted the bodies of callers' requests only.

A response forwarded by a peer counts from its arrival, and becomes an unknown outcome if it does not fit. A response that announces more than its limit is refused without being read. The messages of peers themselves (6 MB each) are not counted.

--- a/pkg/backend/do.go
+++ b/pkg/backend/do.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/dandelionrack/dandelionrack/internal/bytebudget"
 	"github.com/dandelionrack/dandelionrack/internal/sendonce"
 )
 
@@ -90,14 +91,32 @@
 	if limit <= 0 {
 		limit = defaultMaxResponseBytes
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if resp.ContentLength > limit && call.Method != http.MethodHead {
+		return nil, tooLarge(limit)
+	}
+	body, acquired, err := readBody(io.LimitReader(resp.Body, limit+1), resp.ContentLength, call.Budget)
 	if err != nil {
 		return nil, &UnknownOutcomeError{Reason: "incomplete response", Err: err}
 	}
 	if int64(len(body)) > limit {
-		return nil, &UnknownOutcomeError{Reason: "response is larger than " + strconv.FormatInt(limit, 10) + " bytes"}
+		if call.Budget != nil {
+			call.Budget.Release(acquired)
+		}
+		return nil, tooLarge(limit)
+	}
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Acquired: acquired}, nil
+}
+
+func tooLarge(limit int64) error {
+	return &UnknownOutcomeError{Reason: "response is larger than " + strconv.FormatInt(limit, 10) + " bytes"}
+}
+
+func readBody(from io.Reader, length int64, budget *bytebudget.Budget) ([]byte, int64, error) {
+	if budget == nil {
+		body, err := io.ReadAll(from)
+		return body, 0, err
 	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	return budget.ReadAll(from, length)
 }
 
 func hasDelimitedBody(resp *http.Response, method string) bool {
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -20,6 +20,7 @@
 	"sync"
 	"time"
 
+	"github.com/dandelionrack/dandelionrack/internal/bytebudget"
 	"github.com/dandelionrack/dandelionrack/internal/sendonce"
 )
 
@@ -55,6 +56,9 @@
 	AtMostOnce bool
 	// MaxResponseBytes bounds the body of the response; 0 means 4 MiB.
 	MaxResponseBytes int64
+	// Budget, if set, limits the memory of the bodies of all responses. The caller
+	// releases Response.Acquired when it no longer needs the body.
+	Budget *bytebudget.Budget
 }
 
 // Response is a complete response of a backend server.
@@ -62,6 +66,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Acquired is the number of bytes acquired from Call.Budget.
+	Acquired int64
 }
 
 // Pool holds the connections to backend servers. It is safe for concurrent
--- a/pkg/entry/callers.go
+++ b/pkg/entry/callers.go
@@ -186,7 +186,7 @@
 		e.writeRefusal(w, id, *refused)
 		return
 	}
-	defer e.buffers.Release(req.acquired)
+	defer req.memory.end()
 	e.inFlight.Add(1)
 	defer e.inFlight.Done()
 
@@ -256,7 +256,7 @@
 		path:       path,
 		header:     endToEndHeaders(r.Header),
 		body:       body,
-		acquired:   acquired,
+		memory:     requestMemory{budget: e.buffers, held: acquired},
 		deadline:   now.Add(timeout),
 		received:   now,
 		key:        key,
--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -51,6 +51,9 @@
 		Forward: forwardMessage(req, o, left),
 	}})
 	rep := e.forwardResult(req, o, res, err)
+	if size := int64(len(rep.body)); size > 0 && !req.memory.acquire(size) {
+		rep = unknownOutcome(ReasonConnectionLost, "the answer of entry instance %s does not fit this entry instance's memory limit for bodies", o.entry.ID)
+	}
 	if rep.reason == reasonPeerUnreachable {
 		e.settleLink(bytes, 0)
 	}
@@ -182,6 +185,7 @@
 	if refused != nil {
 		return *refused
 	}
+	defer req.memory.end()
 	caller, deadline := ctx, req.deadline
 	if f.GetAtMostOnce() {
 		ctx = context.WithoutCancel(ctx)
@@ -283,5 +287,6 @@
 		deadline:   now.Add(time.Duration(f.GetTimeoutMs()) * time.Millisecond),
 		received:   now,
 		key:        key,
+		memory:     requestMemory{budget: e.buffers},
 	}, nil
 }
--- a/pkg/entry/local.go
+++ b/pkg/entry/local.go
@@ -74,7 +74,11 @@
 		Timeout:          left,
 		AtMostOnce:       !req.service.Idempotent,
 		MaxResponseBytes: e.settings.MaxResponseBytes,
+		Budget:           e.buffers,
 	})
+	if err == nil {
+		req.memory.add(resp.Acquired)
+	}
 	rep := e.backendResult(server.ID, resp, err)
 	if rep.outcome == wire.Outcome_OUTCOME_UNKNOWN {
 		s.release(req.deadline)
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -21,8 +21,7 @@
 	path   string // path and query for the backend server
 	header http.Header
 	body   []byte
-	// acquired is what body takes of Entry.buffers.
-	acquired int64
+	memory requestMemory
 
 	deadline time.Time
 	received time.Time
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -35,8 +35,8 @@
 	// MaxRequestBytes and MaxResponseBytes limit the size of one body.
 	MaxRequestBytes  int64 `json:"max_request_bytes,omitempty"`
 	MaxResponseBytes int64 `json:"max_response_bytes,omitempty"`
-	// MaxBufferedBytes limits the total size of the request bodies of callers
-	// that are held in memory at the same time.
+	// MaxBufferedBytes limits the memory of all bodies of requests and responses
+	// that are held at the same time.
 	MaxBufferedBytes int64 `json:"max_buffered_bytes,omitempty"`
 	// MaxCallerConnections limits the number of open connections of callers.
 	MaxCallerConnections int `json:"max_caller_connections,omitempty"`
