drgate test: bytes that arrive on idle connections, and bytes not read

Bytes that the kernel has received for a process count towards its memory on the platform. TestFaultyResponsesAtTheSameTime now adds them up for the connections to the faulty servers, and has a row of servers that send without end on connections that are idle. The bound is the 30 MB that the soft memory limit leaves for them.

--- a/cmd/drgate/faulty_backend_test.go
+++ b/cmd/drgate/faulty_backend_test.go
@@ -59,6 +59,8 @@
 	slow     bool // writes a piece every slowWritePause
 	// first is the number of complete responses on a connection before the faulty one.
 	first int
+	// idle is the time between the head and the pieces.
+	idle time.Duration
 }
 
 // faultyServer serves connections until the end of the test.
@@ -109,6 +111,7 @@
 		if _, err := io.WriteString(c, strings.ReplaceAll(s.response.head, "ID", id)); err != nil {
 			return
 		}
+		time.Sleep(s.response.idle)
 		for sent := 0; s.response.maxBytes == 0 || sent < s.response.maxBytes; sent += len(s.response.piece) {
 			if _, err := io.WriteString(c, s.response.piece); err != nil {
 				return
@@ -181,6 +184,27 @@
 	return kilobytes << 10
 }
 
+// unreadBytes returns the bytes that the kernel has received for the process from the
+// servers and the process has not read.
+func unreadBytes(t *testing.T, servers []*faultyServer) (sum int) {
+	data, err := os.ReadFile("/proc/net/tcp")
+	require.NoError(t, err)
+	ports := map[string]bool{}
+	for _, s := range servers {
+		ports[fmt.Sprintf("%04X", s.listener.Addr().(*net.TCPAddr).Port)] = true
+	}
+	for line := range strings.Lines(string(data)) {
+		fields := strings.Fields(line) // number, local and remote address, state, queues
+		_, port, _ := strings.Cut(fields[2], ":")
+		if _, queue, _ := strings.Cut(fields[4], ":"); ports[port] {
+			n, err := strconv.ParseInt(queue, 16, 64)
+			require.NoError(t, err)
+			sum += int(n)
+		}
+	}
+	return sum
+}
+
 // outcomes counts the responses to clients by status; 0 stands for none.
 type outcomes struct {
 	mu     sync.Mutex
@@ -318,6 +342,7 @@
 		"body without length":             {head: ok + "\r\n", piece: filler},
 		"chunks":                          {head: ok + chunked, piece: strings.Repeat("1\r\nx\r\n", 4000)},
 		"after the body":                  {head: ok + "Content-Length: 2\r\n\r\nok", piece: filler},
+		"on idle connections":             {head: ok + "Content-Length: 2\r\n\r\nok", piece: filler, idle: 100 * time.Millisecond},
 		"skipped responses":               {first: 1, head: other + chunked, piece: strings.Repeat("1\r\nx\r\n", 4000)},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -339,7 +364,22 @@
 			g := startGate(t, bin, store.Addr())
 			time.Sleep(200 * time.Millisecond)
 			atRest := g.peakMemory(t)
+			unread := 0
+			stop := make(chan struct{})
+			var watch sync.WaitGroup
+			watch.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(50 * time.Millisecond):
+						unread = max(unread, unreadBytes(t, servers))
+					}
+				}
+			})
 			toFaulty, toSound := g.play(t)
+			close(stop)
+			watch.Wait()
 			peak := g.peakMemory(t)
 			requests := int64(0)
 			for _, s := range servers {
@@ -347,10 +387,11 @@
 			}
 			info, err := os.Stat(g.log)
 			require.NoError(t, err)
-			t.Logf("peak %d MB (%d at rest), requests at faulty servers %d, clients %v, other clients %v in %v, log %d KB",
-				peak/1_000_000, atRest/1_000_000, requests, toFaulty.counts, toSound.counts, toSound.slow, info.Size()>>10)
+			t.Logf("peak %d MB (%d at rest), %d MB unread, requests at faulty servers %d, clients %v, other clients %v in %v, log %d KB",
+				peak/1_000_000, atRest/1_000_000, unread/1_000_000, requests, toFaulty.counts, toSound.counts, toSound.slow, info.Size()>>10)
 			require.Positive(t, peak, "the process has ended")
 			require.Less(t, peak, instanceMemory-socketMemory)
+			require.Less(t, unread, socketMemory)
 			answered := 0
 			for _, n := range toSound.counts {
 				answered += n
