--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -111,6 +111,8 @@
 		MaxConnsPerHost:     o.MaxConnections,
 		MaxIdleConnsPerHost: idle,
 		IdleConnTimeout:     o.IdleTimeout,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
@@ -123,6 +125,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		usedConn, _ = info.Conn.(*countingConn)
 		countBefore = usedConn.writeCount()
+		usedConn.beginResponse()
 	}}
 	req, err := r.build(httptrace.WithClientTrace(ctx, trace))
 	if err != nil {
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -21,6 +21,7 @@
 	path   string // path and query for the backend server
 	header http.Header
 	body   []byte
+	memory requestMemory
 
 	deadline time.Time
 	received time.Time
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -205,32 +205,67 @@
 // faulty server may send bytes without end.
 func (c *conn) limitHead() { c.limited.N = maxHeadBytes }
 
-// limitBody makes reading fail once the encoded body exceeds what a body of
-// MaxResponseBytes takes in chunks of a few bytes.
-func (c *conn) limitBody() { c.limited.N = maxEncodedBody }
+// limitBody makes reading fail once the encoding of a body (chunk headers, extensions
+// and trailers) takes maxBodyOverhead more bytes than twice the body. Each chunk takes
+// processor time, which a server that sends chunks of a byte took from all other
+// requests until the deadline.
+func (c *conn) limitBody(body io.Reader) io.Reader {
+	c.limited.N = maxBodyOverhead
+	return &encodedBody{body, c.limited}
+}
+
+// encodedBody permits its connection to read as many bytes as it has decoded, twice.
+type encodedBody struct {
+	io.Reader
+	connection *io.LimitedReader
+}
+
+func (b *encodedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.connection.N += 2 * int64(n)
+	return n, err
+}
 
 // readResponse reads the response that belongs to the request and skips late
 // responses to earlier requests on the connection.
-func (c *conn) readResponse(r Request, t *Timing) (*Response, bool, error) {
+func (c *conn) readResponse(r Request, t *Timing) (response *Response, reusable bool, err error) {
 	c.limitHead()
-	for {
+	memory := headMemory{budget: r.Budget}
+	defer func() {
+		release(r.Budget, memory.buffer)
+		if response == nil {
+			memory.releaseHead()
+			return
+		}
+		response.Acquired += memory.head
+		if reusable {
+			c.shrinkBuffer()
+		}
+	}()
+	for interim := 0; ; {
+		if err := c.bufferHead(&memory); err != nil {
+			return nil, false, errors.Wrap(err, "read answer")
+		}
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method})
 		if err != nil {
-			return nil, false, errors.Wrap(err, "read answer")
+			return nil, false, errors.Wrap(shortenError(err), "read answer")
 		}
 		c.responded = true
 		if resp.StatusCode < http.StatusOK {
-			continue // an interim response
+			if interim++; interim > maxInterim {
+				return nil, false, errors.Errorf("more than %d interim responses", maxInterim)
+			}
+			continue
 		}
-		c.limitBody()
+		body := c.limitBody(resp.Body)
 		if r.Matches(resp) {
-			return c.readBody(r, resp, t.MismatchedResponses == 0)
+			return c.readBody(r, resp, body, t.MismatchedResponses == 0)
 		}
 		t.MismatchedResponses++
 		if !c.used || t.MismatchedResponses > maxMismatched || !hasKnownEnd(r.Method, resp) {
 			return nil, false, errors.New("response belongs to another request")
 		}
-		if err := discard(resp.Body); err != nil {
+		if err := discard(body); err != nil {
 			return nil, false, errors.Wrap(err, "skip late response to an earlier request")
 		}
 		c.limitHead()
@@ -246,8 +281,11 @@
 
 // readBody reads a body to its end. A body without a length is complete if the
 // connection is closed in order; a reset is an error.
-func (c *conn) readBody(r Request, resp *http.Response, noneSkipped bool) (*Response, bool, error) {
-	body, acquired, err := readAll(io.LimitReader(resp.Body, MaxResponseBytes+1), r.Budget)
+func (c *conn) readBody(r Request, resp *http.Response, from io.Reader, noneSkipped bool) (*Response, bool, error) {
+	if resp.ContentLength > MaxResponseBytes && r.Method != http.MethodHead {
+		return nil, false, errors.Errorf("response is larger than %d bytes", MaxResponseBytes)
+	}
+	body, acquired, err := readAll(io.LimitReader(from, MaxResponseBytes+1), resp.ContentLength, r.Budget)
 	if err != nil {
 		return nil, false, errors.Wrap(err, "incomplete response")
 	}
@@ -263,18 +301,12 @@
 
 // readAll reads to the end and returns the bytes that it acquired from the budget.
 // After an error these are released.
-func readAll(from io.Reader, budget *bytebudget.Budget) ([]byte, int64, error) {
+func readAll(from io.Reader, length int64, budget *bytebudget.Budget) ([]byte, int64, error) {
 	if budget == nil {
 		body, err := io.ReadAll(from)
 		return body, 0, err
 	}
-	reader := budget.NewReader(from)
-	body, err := io.ReadAll(reader)
-	if err != nil {
-		budget.Release(reader.Acquired())
-		return nil, 0, err
-	}
-	return body, reader.Acquired(), nil
+	return budget.ReadAll(from, length)
 }
 
 func release(budget *bytebudget.Budget, n int64) {
