upstream: wait for a server that acknowledges but does not read on

Cause: TCP_USER_TIMEOUT of 1 s. The kernel applies it not only to unacknowledged data but also to the time since the first window probe, however many of these the peer answers. A server that works for more than a second before it reads the rest of the body was therefore cut off.

A request of more than 4 KB is now sent with TCP_USER_TIMEOUT off, until the server has acknowledged all of it. Meanwhile one goroutine per pool, which runs only while there is such a request, reads TCP_INFO every 100 ms and ends a connection on which data or two window probes have been unacknowledged for a second and no segment has arrived. No timer or goroutine per connection; smaller requests, and the wait for the response, are as before. A connection whose server has responded before it took the whole request is not reused: the next request would be lost with it.

Ruled out: - Keep-alive probes in place of TCP_USER_TIMEOUT: Linux sends none while data is queued, so neither unacknowledged data nor a closed window would be bounded. - One unanswered window probe as the sign of silence: Linux answers none within 500 ms of the last (tcp_invalid_ratelimit). On loopback the second probe of a sound server stayed unanswered for 0.9 s. TestOneUnansweredWindowProbe fails with it. - Last_ack_recv of TCP_INFO: always 0 in the users' simulated network.

--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,6 +34,14 @@
 	idleSince   time.Time
 	connectTime time.Duration // time to open the connection, about one round trip
 	expires     time.Time     // from the server's Keep-Alive header
+	watcher     *sendWatcher
+	userTimeout time.Duration // the TCP_USER_TIMEOUT while the connection is not watched
+	sending     atomic.Bool   // a request is being written
+	watched     atomic.Bool   // the watcher replaces TCP_USER_TIMEOUT
+	silent      atomic.Bool   // ended by the watcher
+	// probesBounded is set once the time between window probes is bounded; for the
+	// watcher only.
+	probesBounded bool
 }
 
 const (
@@ -52,26 +61,17 @@
 	return !c.responded && now.Sub(t.SentAt) <= c.connectTime+resetSlack
 }
 
-func (c *conn) abort() { _ = c.nc.Close() } // roundTrip reports the closed connection
+// abort closes the connection. With TCP_USER_TIMEOUT back in force, the kernel soon
+// drops what the server has not taken.
+func (c *conn) abort() {
+	_ = c.endWatch() // the connection is given up
+	_ = c.nc.Close() // roundTrip reports the closed connection
+}
 
 // setUserTimeout sets TCP_USER_TIMEOUT, which closes a connection whose sent data
 // stays unacknowledged for that long.
 func setUserTimeout(c *net.TCPConn, after time.Duration) error {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return errors.Wrap(err, "set TCP user timeout")
-	}
-	var sockErr error
-	err = raw.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(after.Milliseconds()))
-	})
-	if err == nil {
-		err = sockErr
-	}
-	if err != nil {
-		return errors.Wrap(err, "set TCP user timeout")
-	}
-	return nil
+	return setTCPOption(c, unix.TCP_USER_TIMEOUT, int(after.Milliseconds()))
 }
 
 // noPendingInput reports whether an idle connection is open and has no unread
@@ -127,8 +127,13 @@
 // write sends head and body. A long body is written concurrently with reading the
 // response; the returned channel then receives the result.
 func (c *conn) write(head, body []byte) (<-chan error, error) {
+	if len(head)+len(body) > smallRequest {
+		c.sending.Store(true)
+		c.watcher.add(c)
+	}
 	if len(body) <= maxInlineBody {
 		_, err := c.nc.Write(append(head, body...))
+		c.sending.Store(false)
 		return nil, err
 	}
 	if _, err := c.nc.Write(head); err != nil {
@@ -137,6 +142,7 @@
 	done := make(chan error, 1)
 	go func() {
 		_, err := c.nc.Write(body)
+		c.sending.Store(false)
 		done <- err
 	}()
 	return done, nil
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -67,6 +67,7 @@
 	NonIdempotentMaxIdleNear time.Duration
 	// TCPUserTimeout is how long sent data may stay unacknowledged before the
 	// connection is closed. It is also the TCP keep-alive interval. Default 1 s.
+	// A server that acknowledges everything may take any time to read a request.
 	TCPUserTimeout time.Duration
 }
 
@@ -155,7 +156,8 @@
 type Pool struct {
 	cfg Config
 	// OnOpen, if set, is called for each connection that was opened.
-	OnOpen func()
+	OnOpen  func()
+	watcher sendWatcher
 
 	mu    sync.Mutex
 	hosts map[string]*host
@@ -177,7 +179,8 @@
 
 // New returns an empty pool.
 func New(cfg Config) *Pool {
-	return &Pool{cfg: cfg.withDefaults(), hosts: make(map[string]*host)}
+	cfg = cfg.withDefaults()
+	return &Pool{cfg: cfg, hosts: make(map[string]*host), watcher: sendWatcher{limit: cfg.TCPUserTimeout}}
 }
 
 // Do sends a request once. Every error is an *Error. When ctx ends, the
@@ -193,6 +196,12 @@
 	if !stop() {
 		reusable = false
 	}
+	if !p.watcher.release(c) {
+		reusable = false
+	}
+	if err != nil && c.silent.Load() {
+		err = &Error{Sent: true, Err: errSilent}
+	}
 	if err != nil && ctx.Err() == nil {
 		err = p.inspectFailure(time.Now(), r.Addr, c, t, err)
 	}
@@ -373,7 +382,10 @@
 		}
 	}
 	limited := &io.LimitedReader{R: nc, N: maxHeadBytes}
-	return &conn{nc: nc, tcp: tcp, r: bufio.NewReaderSize(limited, readBuffer), limited: limited, expires: time.Now().Add(time.Hour)}, nil
+	return &conn{
+		nc: nc, tcp: tcp, r: bufio.NewReaderSize(limited, readBuffer), limited: limited,
+		expires: time.Now().Add(time.Hour), watcher: &p.watcher, userTimeout: p.cfg.TCPUserTimeout,
+	}, nil
 }
 
 // discard reads a body to its end, up to MaxResponseBytes.
