httpserver: let clients that read slowly have their response

A client that reads a long response slowly lost it after StallTimeout (30 s), which is meant for clients that read nothing.

Cause: the deadline of a write. The kernel takes new bytes only when a third of the send buffer is free. With a buffer of 4 MB that is 1.3 MB within 30 s, 350 kbit/s; the comment spoke of 64 KiB.

The limit of connections now wraps the stall check, because its connections hide the socket.

--- a/pkg/httpserver/httpserver.go
+++ b/pkg/httpserver/httpserver.go
@@ -180,7 +180,7 @@
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
-	l = stallListener{limitConnections(l, s.cfg.MaxConnections), s.cfg.StallTimeout}
+	l = limitConnections(stallListener{l, s.cfg.StallTimeout}, s.cfg.MaxConnections)
 	var err error
 	if s.cfg.TLS != nil {
 		err = s.http.ServeTLS(l, "", "")
