upstream: test that a body still being read does not lose the next request

A server may respond before it has read a long body and read on later. If the body fitted into the send buffer, the connection was reused; the next request waited behind the unread body and was lost with the connection after a second (TCP_USER_TIMEOUT).

--- a/pkg/upstream/late_reading_test.go
+++ b/pkg/upstream/late_reading_test.go
@@ -161,6 +161,27 @@
 	require.NoError(t, err)
 }
 
+// Guards against a request that is lost because the one before it, to which the server has
+// responded early, is still being read.
+func TestEarlyResponseToQueuedBody(t *testing.T) {
+	t.Parallel()
+	s := startSocketServer(t, 4<<10, func(c *net.TCPConn, r *http.Request) bool {
+		if r.Header.Get("Id") != "early" {
+			return readRest(c, r)
+		}
+		writeResponse(c, "early", "")
+		time.Sleep(1700 * time.Millisecond)
+		_, err := io.Copy(io.Discard, r.Body)
+		return err == nil
+	})
+	p := newPool(t)
+	_, _, _, err := doWithin(p, s.request("early", 24<<10), time.Second)
+	require.NoError(t, err)
+	_, timing, _, err := doWithin(p, s.request("a", 100), 4*time.Second)
+	require.NoError(t, err)
+	require.False(t, timing.Reused)
+}
+
 // Guards against a peer that is gone and is not found: its requests would last until
 // their deadlines. The bounds of unacknowledged data and of waiting are those of
 // TCPUserTimeout, with the time until a retransmission or probe.
