peer: keep a busy session whose pings wait behind large messages

Callers lost all calls on a bulk session at once ("reply lost") when several large messages were on their way over a slow connection: 16 of 512 KiB at 10 Mbit/s, after 2.5 to 3 s, in each direction (drentry; drgate sends no large messages to peers).

Cause: pings and writes of yamux had a limit of BulkTimeout (2 s), meant for a peer that is frozen or unreachable. A ping queues behind the data of all streams, up to 256 KiB each, so more than 2.5 MB at 10 Mbit/s were taken for silence.

A bulk session is now closed once nothing at all has arrived for BulkTimeout while a ping is unanswered; while the peer reads, its window updates arrive. Writes are limited by RequestTimeout (10 s), and before that by the end of the session. Accepted sessions are pinged in the same way, in place of the keep-alive of yamux, which knows only its own ping. Control sessions carry small messages and are as before.

--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -25,7 +25,10 @@
 	minSessionLifetime = time.Second
 )
 
-var errShortSession = errors.New("session ended soon after its start")
+var (
+	errShortSession = errors.New("session ended soon after its start")
+	errSilentPeer   = errors.New("nothing was received from the peer")
+)
 
 // link holds at most one session of a class to an address, dialed on demand.
 type link struct {
@@ -141,20 +144,20 @@
 	if err != nil {
 		return nil, err
 	}
-	timeout := l.cfg.BulkTimeout
+	timeout := l.cfg.RequestTimeout // of a write; see pingBusy
 	if l.key.class == controlClass {
 		timeout = l.cfg.ControlTimeout
 	}
 	framed := &frameConn{Conn: conn, counters: l.cfg.Traffic.counters(l.key.class)}
 	y := l.cfg.yamux(timeout)
-	y.EnableKeepAlive = false
 	session, err := yamux.Client(framed, y)
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
-	go l.keepAlive(session)
-	return &clientSession{Session: session, conn: framed}, nil
+	opened := &clientSession{Session: session, conn: framed}
+	go l.keepAlive(opened)
+	return opened, nil
 }
 
 // Number of Config.KeepAlive intervals between two pings. The sender of a
@@ -168,7 +171,7 @@
 
 // keepAlive pings the session and closes it if a ping fails. It replaces the
 // keep-alive of yamux, whose interval cannot depend on the state of the session.
-func (l *link) keepAlive(session *yamux.Session) {
+func (l *link) keepAlive(session *clientSession) {
 	t := time.NewTicker(l.cfg.KeepAlive)
 	defer t.Stop()
 	for skipped := 1; ; skipped++ {
@@ -181,14 +184,50 @@
 			continue
 		}
 		skipped = 0
-		if _, err := session.Ping(); err != nil {
+		if err := l.ping(session); err != nil {
 			_ = session.Close()
 			return
 		}
 	}
 }
 
-func (l *link) ticksPerPing(session *yamux.Session) int {
+func (l *link) ping(session *clientSession) error {
+	if l.key.class == controlClass {
+		_, err := session.Ping()
+		return err
+	}
+	return pingBusy(session.Session, session.conn, l.cfg.BulkTimeout)
+}
+
+// pingBusy pings a session that may carry large messages. It fails once neither the
+// response to the ping nor anything else has arrived for the timeout: on a slow
+// connection a ping can wait for seconds behind data that is on its way. For the same
+// reason the timeout of yamux for writes, which also bounds its pings, must be longer.
+func pingBusy(session *yamux.Session, conn *frameConn, timeout time.Duration) error {
+	done := make(chan error, 1)
+	go func() {
+		_, err := session.Ping()
+		done <- err
+	}()
+	check := time.NewTicker(timeout)
+	defer check.Stop()
+	for {
+		received := conn.receivedBytes.Load()
+		select {
+		case err := <-done:
+			if err != nil && conn.receivedBytes.Load() != received {
+				return nil
+			}
+			return err
+		case <-check.C:
+			if conn.receivedBytes.Load() == received {
+				return errSilentPeer
+			}
+		}
+	}
+}
+
+func (l *link) ticksPerPing(session *clientSession) int {
 	switch {
 	case l.heartbeatStreams.Load() > 0:
 		return heartbeatTicksPerPing
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -26,7 +26,8 @@
 	// A control session sends small messages only, so a ping unanswered for
 	// 1 s means that the peer is frozen or unreachable.
 	defaultControlTimeout = time.Second
-	// On a slow connection, queued bodies delay the pings of a bulk session.
+	// Large messages may need this long on a slow connection before the peer's next
+	// window update.
 	defaultBulkTimeout    = 2 * time.Second
 	defaultRequestTimeout = 10 * time.Second
 	defaultMaxStreams     = 256
@@ -59,12 +60,14 @@
 	DialTimeout time.Duration
 	// KeepAlive is the interval of session pings.
 	KeepAlive time.Duration
-	// ControlTimeout and BulkTimeout limit the duration of a ping or a write on
-	// a control or bulk session. A Server uses BulkTimeout for all sessions.
+	// ControlTimeout limits the duration of a ping or a write on a control session.
 	ControlTimeout time.Duration
-	BulkTimeout    time.Duration
+	// BulkTimeout is how long nothing may arrive on a bulk session while a ping is
+	// unanswered. A Server uses it for all sessions.
+	BulkTimeout time.Duration
 	// RequestTimeout is the time within which a peer must send its request after
-	// opening a stream. It also limits the write of a response.
+	// opening a stream. It also limits the write of a response, and on bulk sessions
+	// each write.
 	RequestTimeout time.Duration
 	// MaxStreams limits the concurrent calls per session.
 	MaxStreams int
@@ -99,7 +102,7 @@
 func (c Config) yamux(writeTimeout time.Duration) *yamux.Config {
 	y := yamux.DefaultConfig()
 	y.AcceptBacklog = c.MaxStreams
-	y.KeepAliveInterval = c.KeepAlive
+	y.EnableKeepAlive = false // this package pings, see link.keepAlive and pingBusy
 	y.ConnectionWriteTimeout = writeTimeout
 	y.StreamOpenTimeout = c.RequestTimeout
 	y.StreamCloseTimeout = streamCloseTimeout
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -133,8 +133,8 @@
 		_ = conn.Close()
 		return
 	}
-	conn = &frameConn{Conn: conn, counters: &s.cfg.Traffic.accepted}
-	mux, err := yamux.Server(conn, s.serverYamux())
+	framed := &frameConn{Conn: conn, counters: &s.cfg.Traffic.accepted}
+	mux, err := yamux.Server(framed, s.serverYamux())
 	if err != nil {
 		s.cfg.Logger.Error("cannot start a peer session", "address", host, "error", err)
 		_ = conn.Close()
@@ -145,6 +145,7 @@
 	s.perAddr[host]++
 	s.wg.Add(1)
 	go s.runSession(session)
+	go s.keepAlive(mux, framed)
 }
 
 func (s *Server) runSession(session *serverSession) {
@@ -252,7 +253,23 @@
 const serverKeepAliveFactor = 20
 
 func (s *Server) serverYamux() *yamux.Config {
-	y := s.cfg.yamux(s.cfg.BulkTimeout)
-	y.KeepAliveInterval *= serverKeepAliveFactor
-	return y
+	return s.cfg.yamux(s.cfg.RequestTimeout) // of a write; see pingBusy
+}
+
+// keepAlive pings the session and closes it if the peer is silent. It replaces the
+// keep-alive of yamux, which does not know whether anything else arrives.
+func (s *Server) keepAlive(mux *yamux.Session, conn *frameConn) {
+	t := time.NewTicker(s.cfg.KeepAlive * serverKeepAliveFactor)
+	defer t.Stop()
+	for {
+		select {
+		case <-mux.CloseChan():
+			return
+		case <-t.C:
+		}
+		if err := pingBusy(mux, conn, s.cfg.BulkTimeout); err != nil {
+			_ = mux.Close()
+			return
+		}
+	}
 }
--- a/pkg/peer/traffic.go
+++ b/pkg/peer/traffic.go
@@ -78,6 +78,7 @@
 	bodyRemaining int    // body bytes of the current frame that are not yet written
 	coalesced     []byte // header of a small frame whose body is not yet written
 	goAway        goAwayTracker
+	receivedBytes atomic.Int64
 }
 
 // goAwayTracker records the streams that were opened after the peer's GoAway
@@ -140,6 +141,7 @@
 
 func (c *frameConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.receivedBytes.Add(int64(n))
 	c.goAway.observeReceived(p[:n])
 	return n, err
 }
