--- a/pkg/httpserver/stall.go
+++ b/pkg/httpserver/stall.go
@@ -2,11 +2,9 @@
 
 import (
 	"net"
-	"os"
 	"syscall"
 	"time"
 
-	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -18,52 +16,17 @@
 	stallChecks = 16
 )
 
-// stallListener bounds how long a client may read nothing of its response.
-// http.Server.WriteTimeout is unsuitable because it starts with the request, and
-// would cut off the response of a handler that runs longer. A deadline for each
-// response cannot be set through go-zero, which hides the connection.
-type stallListener struct {
+// socketListener keeps the connection that was accepted last, because the limit of
+// connections hides the socket. net/http accepts connections one at a time.
+type socketListener struct {
 	net.Listener
-	timeout time.Duration
+	accepted net.Conn
 }
 
-func (l stallListener) Accept() (net.Conn, error) {
+func (l *socketListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &stallConn{Conn: c, timeout: l.timeout}, nil
-}
-
-type stallConn struct {
-	net.Conn
-	timeout time.Duration
-}
-
-// Write fails once the client has read nothing for the timeout. That a chunk was not
-// written does not show it: the kernel takes new bytes only when a third of the send
-// buffer, which may hold megabytes, is free.
-func (c *stallConn) Write(p []byte) (int, error) {
-	written := 0
-	var blocked blockedWrite
-	for {
-		chunk := p[written:min(len(p), written+stallChunkBytes)]
-		if err := c.SetWriteDeadline(time.Now().Add(c.timeout / stallChecks)); err != nil {
-			return written, err
-		}
-		n, err := c.Conn.Write(chunk)
-		written += n
-		switch {
-		case err == nil && written == len(p):
-			return written, nil
-		case err == nil:
-			blocked = blockedWrite{}
-		case !errors.Is(err, os.ErrDeadlineExceeded):
-			return written, err
-		case blocked.tooLong(time.Now(), n, sendQueue(c.Conn), c.timeout):
-			return written, err
-		}
-	}
+	l.accepted = c
+	return c, err
 }
 
 // blockedWrite is the progress of a chunk that cannot be written.
