--- a/pkg/httpserver/stall.go
+++ b/pkg/httpserver/stall.go
@@ -16,19 +16,6 @@
 	stallChecks = 16
 )
 
-// socketListener keeps the connection that was accepted last, because the limit of
-// connections hides the socket. net/http accepts connections one at a time.
-type socketListener struct {
-	net.Listener
-	accepted net.Conn
-}
-
-func (l *socketListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	l.accepted = c
-	return c, err
-}
-
 // blockedWrite is the progress of a chunk that cannot be written.
 type blockedWrite struct {
 	since  time.Time // of the last progress; zero before the first check
