--- a/pkg/upstream/bench_test.go
+++ b/pkg/upstream/bodysize_bench_test.go
@@ -11,8 +11,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// BenchmarkDo measures one request on a reused connection, by the size of its body.
-func BenchmarkDo(b *testing.B) {
+// BenchmarkBodySizes measures one request on a reused connection, by the size of its body.
+func BenchmarkBodySizes(b *testing.B) {
 	for _, bodyBytes := range []int{0, 300, 16 << 10, 256 << 10} {
 		b.Run(fmt.Sprintf("body=%d", bodyBytes), func(b *testing.B) {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
