--- a/pkg/httpserver/conn.go
+++ b/pkg/httpserver/conn.go
@@ -4,18 +4,16 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/sync/semaphore"
 	"golang.org/x/sys/unix"
 )
 
-// stallChunkBytes is the amount of a response that a client must read within the
-// stall timeout. It is small, so that slow clients receive their response.
-const stallChunkBytes = 64 << 10
-
 // connListener returns connections of type *conn. It bounds how many are open: Accept
 // waits until one is closed.
 type connListener struct {
@@ -99,7 +97,9 @@
 	return n, err
 }
 
-// Write sets a new deadline for each chunk.
+// Write fails once the client has read nothing for the stall timeout. That a chunk was
+// not written does not show it: the kernel takes new bytes only when a third of the
+// send buffer, which may hold megabytes, is free.
 func (c *conn) Write(p []byte) (int, error) {
 	// The bytes of the next request may arrive before the last call of Write for a
 	// response has returned.
@@ -107,14 +107,22 @@
 	c.receivedAt = time.Time{}
 	c.mu.Unlock()
 	written := 0
+	var blocked blockedWrite
 	for {
 		chunk := p[written:min(len(p), written+stallChunkBytes)]
-		if err := c.SetWriteDeadline(time.Now().Add(c.stallTimeout)); err != nil {
+		if err := c.SetWriteDeadline(time.Now().Add(c.stallTimeout / stallChecks)); err != nil {
 			return written, err
 		}
 		n, err := c.Conn.Write(chunk)
 		written += n
-		if err != nil || written == len(p) {
+		switch {
+		case err == nil && written == len(p):
+			return written, nil
+		case err == nil:
+			blocked = blockedWrite{}
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return written, err
+		case blocked.tooLong(time.Now(), n, sendQueue(c.Conn), c.stallTimeout):
 			return written, err
 		}
 	}
