Link stand-in: count bytes before they are delivered

Cause: write counted the bytes after dst.Write had returned. The echo could reach the client before "opens" was counted. The test then read a count that lacked these 5 bytes, and the expected sum was never met but exceeded. Readers of GET /admin/links see the same lag.

Evidence: TestBytesAreCountedBeforeDelivery reads the report after each of 2,000 exchanges and requires both counts to be exact.

Fix: allowed bytes are counted before the write, and those that a failed write did not send are taken off after it. The equality in TestDropReverse stays.

--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -166,6 +166,8 @@
 	return allowed, true
 }
 
+// count adds n to the bytes of a direction; n is negative for counted bytes that
+// were not sent.
 func (l *link) count(d direction, n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/standin/link/pipe.go
+++ b/internal/standin/link/pipe.go
@@ -158,8 +158,11 @@
 		return false
 	}
 	allowed, last := p.link.limitBytes(d, len(data))
+	// Bytes are counted before the write, because the peer may respond to them
+	// before the write returns.
+	p.link.count(d, allowed)
 	n, err := dst.Write(data[:allowed])
-	p.link.count(d, n)
+	p.link.count(d, n-allowed)
 	if last {
 		p.closeGracefully(dst)
 	}
--- a/internal/standin/link/proxy_test.go
+++ b/internal/standin/link/proxy_test.go
@@ -202,6 +202,19 @@
 	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "a connection that lost bytes must be reset")
 }
 
+// Guards against bytes that are counted after the peer has received them. A
+// report then lacks bytes that its reader has already seen answered.
+func TestBytesAreCountedBeforeDelivery(t *testing.T) {
+	const exchanges, size = 2000, 7
+	p := start(t, 0, 0)
+	c := dial(t, p, "ab/1")
+	for n := range int64(exchanges) {
+		require.NoError(t, exchange(c, randomBytes(size)))
+		r := p.Links()[0]
+		require.Equal(t, []int64{(n + 1) * size, (n + 1) * size}, []int64{r.ForwardBytes, r.ReverseBytes})
+	}
+}
+
 // Guards against a misspelt fault that is silently ignored.
 func TestUnknownKeysAreRefused(t *testing.T) {
 	p := start(t, 0, 0)
