drgate: catch signals at the initialisation of packages

A SIGTERM in that time was acted on only 5.5 s later: go-zero's core/proc had caught it alone, and raised it again then.

Cause: main caught the signals after it had read both settings files, which in turn followed the initialisation of some 150 packages.

Fix: packages stopsignal and reloadsignal catch the signals when they are initialised. They import os/signal only, so Go initialises them directly after it (inittrace: the two come right after os/signal and before unicode and reflect). A signal waits in its channel until the program asks for it: SIGTERM then stops in order, SIGHUP reads the settings again.

What remains is the time before the Go runtime has installed its handlers, about 2 ms here; the program cannot change it.

--- a/cmd/drgate/main.go
+++ b/cmd/drgate/main.go
@@ -6,14 +6,14 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/dandelionrack/dandelionrack/internal/cli"
+	"github.com/dandelionrack/dandelionrack/internal/reloadsignal"
+	"github.com/dandelionrack/dandelionrack/internal/stopsignal"
 	"github.com/dandelionrack/dandelionrack/pkg/fleet"
 	"github.com/dandelionrack/dandelionrack/pkg/ingress"
 	"github.com/dandelionrack/dandelionrack/pkg/replica"
@@ -76,22 +76,12 @@
 }
 
 func serve(nodeFile string, node fleet.InstanceConfig, s ingress.Settings, log hclog.Logger, droppedLines func() int64) error {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := stopsignal.Context()
 	defer cancel()
-	// The channels stay registered, so that a second signal does not kill the
-	// process while requests are in flight.
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	in := ingress.New(ingress.Options{
 		Instance: node, Settings: s, Protocol: platform.Protocol{}, NewStore: newStore, Log: log, DroppedLines: droppedLines,
 	})
-	go func() {
-		<-stop
-		cancel()
-	}()
-	go watchSettings(ctx, reload, nodeFile, s.MetricsPort, in, log)
+	go watchSettings(ctx, reloadsignal.Signals(), nodeFile, s.MetricsPort, in, log)
 	return in.Run(ctx)
 }
 
