drentry and the stand-ins: catch stop signals at the initialisation of packages

Cause: they too caught signals only after they had read their settings.

Fix: they use package stopsignal. SIGHUP ends them as before; none of them has settings to read again.

Evidence: TestStopSignalDuringStart sends SIGTERM to each while packages are being initialised and while it reads its settings, and requires exit code 0 within 4 s.

--- a/cmd/drentry/main.go
+++ b/cmd/drentry/main.go
@@ -4,16 +4,14 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/dandelionrack/dandelionrack/internal/cli"
+	"github.com/dandelionrack/dandelionrack/internal/stopsignal"
 	"github.com/dandelionrack/dandelionrack/pkg/entry"
 	"github.com/dandelionrack/dandelionrack/pkg/settings"
 )
@@ -59,16 +57,8 @@
 }
 
 func serve(s entry.Settings, log hclog.Logger) error {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := stopsignal.Context()
 	defer cancel()
-	// The channel stays registered, so that a second signal does not kill the
-	// process while requests are in flight.
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	go func() {
-		<-signals
-		cancel()
-	}()
 	e, err := entry.New(s, log)
 	if err != nil {
 		return err
--- a/cmd/drgate/signals_test.go
+++ b/cmd/drgate/signals_test.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -14,6 +17,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	platformstandin "github.com/dandelionrack/dandelionrack/internal/standin/platform"
 	"github.com/dandelionrack/dandelionrack/pkg/fleet"
 	"github.com/dandelionrack/dandelionrack/platform/standin"
 )
@@ -40,6 +44,14 @@
 	return bin
 }
 
+// freeAddr returns an address that was free just now.
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	return l.Addr().String()
+}
+
 func startDaemon(t *testing.T, program string, args ...string) *startingDaemon {
 	d := &startingDaemon{t: t, lines: make(chan string, 10_000), settings: filepath.Join(t.TempDir(), "settings")}
 	require.NoError(t, syscall.Mkfifo(d.settings, 0o600))
@@ -124,8 +136,31 @@
 	require.NoError(d.t, w.Close())
 }
 
-// Guards against a signal that ends a process, or is lost, because it arrives while
-// the process starts.
+// Guards against a stop signal that ends a daemon, or is lost, because it arrives
+// while the process starts.
+func TestStopSignalDuringStart(t *testing.T) {
+	store, err := platformstandin.Start(platformstandin.DefaultSettings())
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, store.Close()) })
+	settings := map[string]string{
+		"drentry": fmt.Sprintf(`{"id": "e1", "failure_domain": "a", "operator_token": "t", "platform_url": "http://%s", "lookup_ttl": "100ms",
+			"caller_addr": %q, "peer_addr": %q, "operator_addr": %q}`, store.Addr(), freeAddr(t), freeAddr(t), freeAddr(t)),
+		"drplatform": "{}", "drbackend": "{}", "drlink": "{}",
+	}
+	bin := buildDaemons(t, slices.Collect(maps.Keys(settings))...)
+	for name, text := range settings {
+		for _, atInitialisation := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, at initialisation %t", name, atInitialisation), func(t *testing.T) {
+				d := startDaemon(t, filepath.Join(bin, name))
+				d.signalAtStart(atInitialisation, syscall.SIGTERM, text)
+				d.awaitExit()
+			})
+		}
+	}
+}
+
+// Guards against a signal that ends an entry instance, or is lost, because it arrives
+// while the process starts.
 func TestSignalsDuringStart(t *testing.T) {
 	program := filepath.Join(buildDaemons(t, "drgate"), "drgate")
 	node := filepath.Join(t.TempDir(), "node.json")
--- a/internal/standin/program/program.go
+++ b/internal/standin/program/program.go
@@ -15,6 +15,7 @@
 	"github.com/tailscale/hujson"
 
 	"github.com/dandelionrack/dandelionrack/internal/cli"
+	"github.com/dandelionrack/dandelionrack/internal/stopsignal"
 )
 
 type commandLine struct {
@@ -34,7 +35,7 @@
 		return cli.Fail(name, err, cli.ExitUsage)
 	}
 	log := hclog.New(&hclog.LoggerOptions{Name: name, Level: hclog.LevelFromString(cl.LogLevel), Output: os.Stderr})
-	ctx, stop := cli.SignalContext()
+	ctx, stop := stopsignal.Context()
 	defer stop()
 	if err := serve(ctx, settings, log); err != nil {
 		log.Error("stopped", "error", err)
