Ingress: send nothing for a client that has closed before the first send

Cause: net/http notices a close by a read in a goroutine of its own, which it starts with the handler, or once the handler has read the body, and which reads one byte. (1) A request whose close lies directly behind it, because both waited in the accept queue, in the socket or for processor time, is handled before that goroutine has run. (2) Behind bytes of a next request the close is not seen at all. (3) For non-idempotent requests the end of the context is ignored on purpose, also before anything was sent. (4) upstream.Pool.Do wrote a request whose context had ended meanwhile; the connection was closed only beside the write.

Fix: the context of each connection has its socket (httpserver.ClientClosed). Just before the first byte is written, that is after a connection was opened, Pool.Do checks the context and calls Request.Canceled, for which the ingress polls the socket with POLLRDHUP. Such a request is answered 503 not_run client_left, the connection to the backend server is kept with its idle time. The state is polled rather than a byte peeked at, because bytes of a next request may precede the close. Retries are not polled for; they already check the context. A client that closes only its sending side counts as gone, as it does for net/http; until now its non-idempotent requests were run.

Evidence: TestClientLeftBeforeSend sends a second request behind a running one, on real sockets, and closes the sending side. TestClientClosed has the close in the accept queue, also behind bytes of a next request, and a reset. TestCanceledRequestIsNotSent has the connection opened or taken meanwhile.

--- a/pkg/httpserver/httpserver.go
+++ b/pkg/httpserver/httpserver.go
@@ -118,6 +118,7 @@
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
 			TLSConfig:         cfg.TLS,
+			ConnContext:       withClientSocket,
 		},
 	}
 	s.http.ConnState = s.track
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -12,6 +12,7 @@
 
 	"github.com/dandelionrack/dandelionrack/internal/bytebudget"
 	"github.com/dandelionrack/dandelionrack/pkg/fleet"
+	"github.com/dandelionrack/dandelionrack/pkg/httpserver"
 	"github.com/dandelionrack/dandelionrack/pkg/placement"
 	"github.com/dandelionrack/dandelionrack/pkg/upstream"
 )
@@ -159,6 +160,13 @@
 
 func (r *request) clientLeft() bool { return r.http.Context().Err() != nil }
 
+// clientLeftBeforeSend reports whether the client has left before anything was sent.
+// Such a request is not sent even if it is non-idempotent, since it certainly has not
+// run.
+func (r *request) clientLeftBeforeSend() bool {
+	return r.sendCount == 0 && (r.clientLeft() || httpserver.ClientClosed(r.http.Context()))
+}
+
 // readBody reads the whole body into memory, so that it can be sent again.
 func (r *request) readBody(w http.ResponseWriter) *reply {
 	limit := r.doc.Limits.MaxBodyBytes
--- a/pkg/ingress/steer.go
+++ b/pkg/ingress/steer.go
@@ -133,7 +133,7 @@
 	x.response, x.timing, x.err = g.backends.Do(ctx, upstream.Request{
 		Addr: c.Server.Addr, Method: r.http.Method, Target: r.target, Host: r.http.Host,
 		Header: r.header, Body: r.body, Idempotent: r.route.Idempotent, Budget: g.bodyBudget,
-		NewConnection: slices.Contains(r.triedAddrs, c.Server.Addr),
+		NewConnection: slices.Contains(r.triedAddrs, c.Server.Addr), Canceled: r.clientLeftBeforeSend,
 		Matches: func(resp *http.Response) bool {
 			x.head = g.protocol.ReadResponse(resp.StatusCode, resp.Header)
 			return x.head.RequestID == r.head.ID
@@ -187,6 +187,11 @@
 	}
 	res := sendResult{sent: sent, mayHaveRun: sent, err: err}
 	switch {
+	case failed != nil && failed.Canceled:
+		result.Outcome = placement.Abandoned
+		res.final = &reply{
+			status: http.StatusServiceUnavailable, outcome: outcomeNotRun, reason: reasonClientLeft, retryAfter: minRetryAfter, cause: err,
+		}
 	case r.clientLeft() && ctx.Err() != nil:
 		result.Outcome = placement.Abandoned
 		res.final = &reply{status: http.StatusServiceUnavailable, outcome: outcomeClientLeft, reason: reasonClientLeft, cause: err}
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -93,6 +93,9 @@
 	// request may have used one, on which a response to that attempt can still
 	// arrive; it would match this one.
 	NewConnection bool
+	// Canceled, if set, is called just before the first byte is written. If it
+	// returns true, nothing is sent and the connection is kept.
+	Canceled func() bool
 	// Matches reports whether a response belongs to this request.
 	Matches func(*http.Response) bool
 	// Budget, if set, limits the memory of the response body. The caller
@@ -134,7 +137,9 @@
 	// ClosedAtOnce means that a new connection was closed within a round trip
 	// after the request was sent.
 	ClosedAtOnce bool
-	Err          error
+	// Canceled means that Request.Canceled returned true.
+	Canceled bool
+	Err      error
 }
 
 func (e *Error) Error() string {
@@ -188,6 +193,10 @@
 	if err != nil {
 		return nil, t, err
 	}
+	if err := notSent(ctx, r); err != nil {
+		p.putUnused(r.Addr, c)
+		return nil, t, err
+	}
 	stop := context.AfterFunc(ctx, c.abort)
 	response, reusable, err := c.roundTrip(r, &t)
 	if !stop() {
@@ -203,6 +212,18 @@
 	return response, t, err
 }
 
+// notSent returns the reason not to send a request for which a connection has been
+// opened or taken, or nil.
+func notSent(ctx context.Context, r Request) error {
+	switch {
+	case ctx.Err() != nil:
+		return &Error{Err: errors.Wrap(context.Cause(ctx), "abandoned")}
+	case r.Canceled != nil && r.Canceled():
+		return &Error{Canceled: true, Err: errors.New("canceled")}
+	}
+	return nil
+}
+
 // inspectFailure records what a failed request shows of the server's connections.
 func (p *Pool) inspectFailure(now time.Time, addr string, c *conn, t Timing, err error) error {
 	var failed *Error
@@ -326,6 +347,19 @@
 		return
 	}
 	c.idleSince = time.Now()
+	p.putIdle(addr, c)
+}
+
+// putUnused returns a connection on which nothing was sent. For the server, a reused
+// one has been idle all the time.
+func (p *Pool) putUnused(addr string, c *conn) {
+	if c.idleSince.IsZero() {
+		c.idleSince = time.Now()
+	}
+	p.putIdle(addr, c)
+}
+
+func (p *Pool) putIdle(addr string, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.host(addr)
