entry: wait for first heartbeats before a request is refused

To callers: an entry instance that has just started without a predecessor reports ready and refuses, for some milliseconds to one heartbeat interval, every request whose servers are in other failure domains.

Cause: such an instance does not wait for its peers (heardFromPeers), since it has no hold-off. Until the first heartbeat of e1, e2 counts it as not ready, has no candidate, and refused at once; a request that finds only full peers is queued.

Evidence: a scratch copy that writes the candidates of each plan without a free slot caught one failure in 240 runs (four copies at once, load 19 to 22): "excluded e1 peer_not_ready", e1 never heard. 120 runs beside three busy processes showed none. With each heartbeat from e1 to e2 late by 20 to 150 ms in that copy, 4, 5, 4 and 3 of 6 runs failed with the same message; with 0 and 5 ms none.

Fix: waitForSlot waits, within the limit of the queue, while an instance in a failure domain with servers of the service has become a peer less than startupPeerWait (1 s) ago and has not sent a heartbeat. A peer that is heard, gone or known for longer is not waited for, so a dead peer delays requests for a second at most.

With the late heartbeats, 24 of 24 runs of TestLookupAndKeys passed, and 200 of 200 in four copies at once (load 12 to 17). The package passed.

TestLookupAndKeys stays in KNOWN-RED.txt for another failure that the 240 runs showed 3 times, two checks later; it is not traced.

--- a/pkg/entry/steer.go
+++ b/pkg/entry/steer.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dandelionrack/dandelionrack/internal/wait"
 	"github.com/dandelionrack/dandelionrack/pkg/admission"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/membership"
@@ -31,6 +32,9 @@
 	// at most timeLeft/homeWaitDivisor and at least minHomeWait.
 	homeWaitDivisor = 4
 	minHomeWait     = 5 * time.Millisecond
+	// firstHeartbeatPoll is how often a request that waits for the first heartbeat of
+	// a peer looks for it. Heartbeats between regions take up to 55 ms.
+	firstHeartbeatPoll = 10 * time.Millisecond
 )
 
 // dispatcher sends one request to backend servers until it has a final reply.
@@ -196,13 +200,35 @@
 }
 
 // waitForSlot queues the request at the best candidate. refused is the reply if
-// there is no candidate.
+// there is no candidate, also after the first heartbeats that are due.
 func (d *dispatcher) waitForSlot(ctx context.Context, refused reply, maxWait time.Duration) reply {
+	until := time.Now().Add(maxWait)
 	candidate, ok := d.queueCandidate()
+	for !ok && d.firstHeartbeatDue() && time.Now().Before(until) {
+		if wait.Sleep(ctx, firstHeartbeatPoll) != nil {
+			return refused
+		}
+		candidate, ok = d.queueCandidate()
+	}
 	if !ok {
 		return refused
 	}
-	return d.tryCandidate(ctx, candidate, maxWait)
+	return d.tryCandidate(ctx, candidate, time.Until(until))
+}
+
+// firstHeartbeatDue reports whether an entry instance in a failure domain with servers
+// of the service has become a peer less than startupPeerWait ago and has not sent a
+// heartbeat yet. An instance without a predecessor is ready before it has heard from
+// its peers, and would refuse requests that these can serve.
+func (d *dispatcher) firstHeartbeatDue() bool {
+	now := time.Now()
+	d.e.membersMu.Lock()
+	statuses := d.e.members.Peers(now)
+	d.e.membersMu.Unlock()
+	return slices.ContainsFunc(statuses, func(s membership.Status) bool {
+		return s.State == membership.StateUnknown && now.Sub(s.Since) < startupPeerWait &&
+			d.hasServers(d.req.view.entries[s.Entry].FailureDomain)
+	})
 }
 
 // queueCandidate returns the first candidate in a failure domain with servers of
