--- a/pkg/httpserver/conn.go
+++ b/pkg/httpserver/conn.go
@@ -44,7 +44,11 @@
 		l.release()
 		return nil, err
 	}
-	return &conn{Conn: c, stallTimeout: l.stallTimeout, idleTimeout: l.idleTimeout, release: sync.OnceFunc(l.release), opened: time.Now()}, nil
+	out := &conn{Conn: c, stallTimeout: l.stallTimeout, idleTimeout: l.idleTimeout, release: sync.OnceFunc(l.release), opened: time.Now()}
+	if s, ok := c.(syscall.Conn); ok {
+		out.raw, _ = s.SyscallConn() // fails only if the connection is closed
+	}
+	return out, nil
 }
 
 func (l *connListener) release() {
@@ -69,6 +73,7 @@
 // made to end between two requests; see expire.
 type conn struct {
 	net.Conn
+	raw          syscall.RawConn // nil if there is no socket
 	stallTimeout time.Duration
 	idleTimeout  func() time.Duration
 	release      func() // frees the slot of the listener
@@ -122,7 +127,7 @@
 			blocked = blockedWrite{}
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return written, err
-		case blocked.tooLong(time.Now(), n, sendQueue(c.Conn), c.stallTimeout):
+		case blocked.tooLong(time.Now(), n, c.sendQueue(), c.stallTimeout):
 			return written, err
 		}
 	}
@@ -169,7 +174,7 @@
 	if since.IsZero() && !c.used {
 		since = c.opened
 	}
-	if !c.expired && (since.IsZero() || now.Sub(since) >= patience) && !hasInput(c.Conn) {
+	if !c.expired && (since.IsZero() || now.Sub(since) >= patience) && !c.hasInput() {
 		c.expired = c.Conn.SetReadDeadline(now) == nil // it fails if the connection is closed
 	}
 	return c.expired
@@ -202,18 +207,13 @@
 }
 
 // hasInput reports whether bytes have arrived that were not read.
-func hasInput(c net.Conn) bool {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
+func (c *conn) hasInput() bool {
+	if c.raw == nil {
 		return false
 	}
 	n := 0
 	// Not raw.Read, which waits for a reader that is blocked.
-	err = raw.Control(func(fd uintptr) {
+	err := c.raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, _ = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT) // fails if there are none
 	})
--- a/pkg/httpserver/stall.go
+++ b/pkg/httpserver/stall.go
@@ -1,8 +1,6 @@
 package httpserver
 
 import (
-	"net"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -34,17 +32,12 @@
 
 // sendQueue returns the number of bytes that the client has not acknowledged, or 0 if
 // it is unknown.
-func sendQueue(c net.Conn) int {
-	socket, ok := c.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
+func (c *conn) sendQueue() int {
+	if c.raw == nil {
 		return 0
 	}
 	var bytes int
-	_ = raw.Control(func(fd uintptr) { // fails on a closed connection
+	_ = c.raw.Control(func(fd uintptr) { // fails on a closed connection
 		bytes, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
 	})
 	return bytes
