--- a/cmd/drgate/signals_test.go
+++ b/cmd/drgate/signals_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -18,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	platformstandin "github.com/dandelionrack/dandelionrack/internal/standin/platform"
+	"github.com/dandelionrack/dandelionrack/internal/testbed"
 	"github.com/dandelionrack/dandelionrack/pkg/fleet"
 	"github.com/dandelionrack/dandelionrack/platform/standin"
 )
@@ -44,12 +44,10 @@
 	return bin
 }
 
-// freeAddr returns an address that was free just now.
 func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := testbed.FreeAddr()
 	require.NoError(t, err)
-	require.NoError(t, l.Close())
-	return l.Addr().String()
+	return addr
 }
 
 func startDaemon(t *testing.T, program string, args ...string) *startingDaemon {
