roster: a silent follower of the store is replaced within the bounds of the deployment

Cause: the others took over only when the last heartbeat was LivenessTimeout (2.5 s) old and then after takeoverDelay (2 s) and 0.4 s a rank, constants that did not follow from the bounds. In one region nobody else read the store until then.

Fix: a follower names two standbys in its heartbeats (ReplicaSync.standby_rank), the first in another failure domain if there is one, and sends them heartbeats every 0.15 of the shorter of config_apply and drain. After 0.4 of it without one the first takes over, 0.08 later the second: 1.0 s and 1.2 s at 2.5 s. This leaves more than half of the bound for the read and the way to the others. The follower names them because it exchanges heartbeats with its whole region; others remember dead members for minutes and would wait for their ranks. An instance that was paused itself starts to wait anew. A false takeover ends with the next heartbeat of the better follower. Other members take over as before, their delay is now 0.8 of the bound and 0.16 a rank. Nothing depends on the number of regions.

Two smaller changes belong to it: a member counts as having lost the store for 10 s, not until it follows again, since every instance follows for a moment at its start; and the first missed heartbeat is repeated after the usual interval, not after 2 s.

Ruled out: heartbeats to the whole region at the short interval (grows with the region), and a standby that polls the store too (doubles the calls).

--- a/pkg/fleet/node.go
+++ b/pkg/fleet/node.go
@@ -53,6 +53,10 @@
 	MaxShift float64
 }
 
+// Propagation returns the time within which a change in the store must take effect at
+// all instances.
+func (b Bounds) Propagation() time.Duration { return min(b.ConfigApply, b.Drain) }
+
 // DefaultBounds returns the bounds used where the platform sets none: those of
 // the smaller deployments.
 func DefaultBounds() Bounds {
--- a/pkg/ingress/follow.go
+++ b/pkg/ingress/follow.go
@@ -10,7 +10,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/dandelionrack/dandelionrack/internal/wait"
-	"github.com/dandelionrack/dandelionrack/pkg/fleet"
 	"github.com/dandelionrack/dandelionrack/pkg/replica"
 )
 
@@ -20,9 +19,9 @@
 	// end is noticed well within the limits of 2.5 s.
 	minStoreBackoff = 100 * time.Millisecond
 	maxStoreBackoff = 800 * time.Millisecond
-	// followCheckInterval is how often an instance that does not follow the
-	// store checks whether it must.
-	followCheckInterval = 200 * time.Millisecond
+	// maxFollowCheckInterval is how often an instance that does not follow the
+	// store checks whether it must, unless the bounds require more.
+	maxFollowCheckInterval = 200 * time.Millisecond
 	// minChangesInterval is the minimum time between two calls for changes, so
 	// that changes in quick succession cost one call. It is small compared with
 	// the shortest limit (2.5 s).
@@ -73,7 +72,7 @@
 			select {
 			case <-ctx.Done():
 			case <-f.wake:
-			case <-time.After(followCheckInterval):
+			case <-time.After(f.g.followCheckInterval()):
 			}
 			continue
 		}
@@ -123,7 +122,7 @@
 	}
 	slices.Sort(regions)
 	phases := len(replicatedTables) * max(1, len(regions))
-	notice := time.Duration(noticeShare * float64(propagationBound(n.Bounds)))
+	notice := time.Duration(noticeShare * float64(n.Bounds.Propagation()))
 	return replica.PollSchedule{
 		Interval: min(f.g.settings.StoreWait.Std(), notice*time.Duration(phases)),
 		Phase:    max(0, slices.Index(regions, n.Region))*len(replicatedTables) + slices.Index(replicatedTables, f.table),
@@ -131,12 +130,8 @@
 	}
 }
 
-// propagationBound returns the time within which a change in the store must take
-// effect at all instances.
-func propagationBound(b fleet.Bounds) time.Duration { return min(b.ConfigApply, b.Drain) }
-
 func (f *tableFollower) overdueAfter() time.Duration {
-	after := time.Duration(overdueShare * float64(propagationBound(f.g.instance.Load().Bounds)))
+	after := time.Duration(overdueShare * float64(f.g.instance.Load().Bounds.Propagation()))
 	return min(maxOverdue, max(after, overdueFactor*f.delay))
 }
 
@@ -225,6 +220,12 @@
 	}
 }
 
+func (g *Ingress) followCheckInterval() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return min(maxFollowCheckInterval, g.roster.TakeoverStep())
+}
+
 // startPeerWait is how long after its start an instance waits for a copy of a table
 // from its region before it reads the table from the store.
 const startPeerWait = 1500 * time.Millisecond
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -144,6 +144,7 @@
 	g.selector.setLimits(time.Now(), &n)
 	g.mu.Lock()
 	g.registry.SetLimits(n.Bounds.Drain, n.HeartbeatInterval)
+	g.roster.SetBounds(n.Bounds)
 	g.mu.Unlock()
 	if old := g.store.Load(); old == nil || old.addr != n.StoreAddr {
 		g.store.Store(&storeClient{g.newStore(n.StoreAddr, g.observeStore), n.StoreAddr})
--- a/pkg/ingress/peers.go
+++ b/pkg/ingress/peers.go
@@ -55,15 +55,18 @@
 	lackingSince time.Time
 	// reached reports whether a call has ever succeeded.
 	reached bool
-	// lost reports whether the last call failed; used for logging.
+	// lost reports whether the last call failed.
 	lost bool
+	// standbyRank is the place among the standbys of this instance of which the
+	// peer was last informed.
+	standbyRank int
 }
 
 // runPeers maintains one link to every member that the roster selects, and asks the
 // seeds for members at the start.
 func (g *Ingress) runPeers(ctx context.Context) {
 	go g.runSeeds(ctx)
-	ticker := time.NewTicker(followCheckInterval)
+	ticker := time.NewTicker(maxFollowCheckInterval)
 	defer ticker.Stop()
 	// If no follower has sent its tables by then, other peers are asked for them.
 	time.AfterFunc(replica.StartPullDelay, g.pushNow)
@@ -134,6 +137,18 @@
 			g.peers.CloseSessions(l.member.PeerAddr)
 		}
 	}
+	g.informStandbys(now)
+}
+
+// informStandbys sends a heartbeat to each member that has become or is no longer a
+// standby of this instance. The caller holds mu.
+func (g *Ingress) informStandbys(now time.Time) {
+	for id, l := range g.links {
+		if rank := g.roster.StandbyRank(now, id); rank != l.standbyRank {
+			l.standbyRank = rank
+			l.wakeUp()
+		}
+	}
 }
 
 func (g *Ingress) wakeLinks() {
@@ -152,9 +167,10 @@
 
 func (g *Ingress) runLink(ctx context.Context, l *link, addr string) {
 	for ctx.Err() == nil {
-		ok := g.heartbeat(ctx, l, addr)
-		interval := g.settings.HeartbeatInterval.Std()
-		if !ok {
+		// The first missed heartbeat is repeated at the usual interval, because a
+		// standby that hears nothing soon takes over.
+		wasLost, interval := l.lost, g.heartbeatInterval(l)
+		if !g.heartbeat(ctx, l, addr) && wasLost {
 			interval = unresponsiveInterval
 		}
 		_ = wait.Sleep(ctx, minPushInterval) // the select below handles the end of ctx
@@ -168,6 +184,12 @@
 	}
 }
 
+func (g *Ingress) heartbeatInterval(l *link) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.roster.HeartbeatInterval(time.Now(), l.member.ID, g.settings.HeartbeatInterval.Std())
+}
+
 // heartbeat exchanges one heartbeat with a peer and reports whether it succeeded.
 func (g *Ingress) heartbeat(ctx context.Context, l *link, addr string) bool {
 	message := g.syncRequest(l)
@@ -215,7 +237,7 @@
 	if in == nil {
 		return &wire.Response{Error: "unknown call"}
 	}
-	out := g.syncResponse(g.handleSync(time.Now(), in))
+	out := g.syncResponse(in.GetMember().GetId(), g.handleSync(time.Now(), in))
 	if in.GetIntroduce() || in.GetRefresh() {
 		g.addKnownMembers(out, in.GetIntroduce())
 	}
@@ -261,7 +283,10 @@
 // handleSync applies a peer's message and returns the table states of the peer.
 func (g *Ingress) handleSync(now time.Time, in *wire.ReplicaSync) map[replica.TableName]replica.State {
 	from := decodeMember(in.GetMember())
-	status := roster.Status{StoreResponseAge: time.Duration(in.GetMember().GetStoreAgeMs()) * time.Millisecond, Following: in.GetMember().GetFollowing()}
+	status := roster.Status{
+		StoreResponseAge: time.Duration(in.GetMember().GetStoreAgeMs()) * time.Millisecond, Following: in.GetMember().GetFollowing(),
+		StandbyRank: int(in.GetStandbyRank()),
+	}
 	for state, w := range wireStates {
 		if w == in.GetMember().GetState() {
 			status.State = state
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -23,20 +23,37 @@
 	// member counts as a follower: one long poll of 2 s, the extra 1 s of
 	// its timeout, and a delayed heartbeat.
 	maxStoreResponseAge = 3500 * time.Millisecond
-	// takeoverDelay is how long a region must be without a follower before its
-	// first member by rank follows the store. Each next member waits
-	// takeoverStep longer, up to maxTakeoverRank steps.
-	takeoverDelay   = 2 * time.Second
-	takeoverStep    = 400 * time.Millisecond
+	// maxStandbys is the number of members that watch each follower of the store:
+	// two, so that the region has a follower in time even if the first standby
+	// fails together with the follower. More would cost heartbeats.
+	maxStandbys = 2
+	// The first standby takes over from a follower from which it has heard nothing
+	// for silenceShare of fleet.Bounds.Propagation, the next one a step later. The
+	// rest of the bound is for the first response of the store and the way to all
+	// members. A follower sends heartbeats to its standbys at intervals of
+	// standbyHeartbeatShare, so that two must be lost or late for a false takeover.
+	silenceShare          = 0.4
+	standbyHeartbeatShare = 0.15
+	takeoverStepShare     = 0.08
+	// Members that are no standbys hear less often from the follower. They take
+	// over if there is none for LivenessTimeout plus fallbackShare of the bound,
+	// and two steps more for each better rank, up to maxTakeoverRank: the follower
+	// and its standbys have failed together.
+	fallbackShare   = 0.8
 	maxTakeoverRank = 5
+	// The shares apply to bounds in this range. A shorter bound would need more
+	// heartbeats than a small machine can send; a longer one would delay
+	// registrations, which have no bound of their own.
+	minBound = 500 * time.Millisecond
+	maxBound = 2500 * time.Millisecond
 	// A follower that reports that it no longer follows is replaced at once by
-	// the first member by rank, and lossTakeoverStep later by the next one if
-	// the first has no answer of the store by then: a round trip between
-	// regions takes 110 ms. Only lossCandidates members do so, because most
-	// losses are outages of the whole store, in which each member's calls are
-	// refused.
-	lossTakeoverStep = 200 * time.Millisecond
-	lossCandidates   = 3
+	// the first member by rank, and a step later by the next one if the first
+	// has no answer of the store by then: a round trip between regions takes
+	// 110 ms. Only lossCandidates members do so, because most losses are outages
+	// of the whole store, in which each member's calls are refused.
+	lossCandidates = 3
+	// standbyRefresh is how often a follower chooses its standbys anew.
+	standbyRefresh = 100 * time.Millisecond
 	// peersPerDomain is the number of heartbeat peers in each other failure
 	// domain of the region: two, so that the loss of one member leaves an
 	// address for clients. peersPerRegion is the number in each other region:
@@ -51,7 +68,7 @@
 	// maxAddrs is the maximum number of addresses that clients accept.
 	maxAddrs = 64
 	// unresponsiveTTL is how long a member that missed a heartbeat is avoided
-	// when heartbeat peers are chosen.
+	// when heartbeat peers are chosen, and one that lost the store when standbys are.
 	unresponsiveTTL = 10 * time.Second
 	// memberTTL is how long a member is remembered after its last heartbeat to
 	// anyone. At 540 members, some learn of a heartbeat after 3 minutes; see
@@ -80,6 +97,9 @@
 	StoreResponseAge time.Duration
 	// Following says that the member follows the store for its region.
 	Following bool
+	// StandbyRank is the place of the receiver among the standbys of the member,
+	// from 1; 0 if it is none.
+	StandbyRank int
 }
 
 func (s Status) follows() bool {
@@ -93,7 +113,7 @@
 	refused           bool      // its address refused a connection
 	aliveAt           time.Time // last known to be alive, by its heartbeat to anyone
 	missedHeartbeatAt time.Time // last unanswered heartbeat
-	lostStore         bool      // has followed the store and reported that it no longer does
+	lostStoreAt       time.Time // when it last reported that it no longer follows the store; zero while it follows
 }
 
 // Roster is one entry instance's list of members. It is not safe for concurrent
@@ -103,11 +123,35 @@
 	status  Status
 	members map[string]*member
 
+	timing         timing
 	following      bool
-	followerSeenAt time.Time // when the region last had a follower
+	followerSeenAt time.Time // when a follower of the region was last heard
+	checkedAt      time.Time // last call of FollowsStore
 	// lossReportedAt is when a follower last reported that it no longer
 	// follows, and zero once the region has a follower again.
 	lossReportedAt time.Time
+	// standbyRank is StandbyRank as the last follower that was heard has set it.
+	standbyRank int
+	// standbys are the standbys of this instance, chosen at standbysAt.
+	standbys   []string
+	standbysAt time.Time
+}
+
+// timing holds the times of the takeover for the bounds of the deployment.
+type timing struct {
+	silence          time.Duration // of a follower, until its first standby takes over
+	standbyHeartbeat time.Duration // interval of a follower's heartbeats to its standbys
+	step             time.Duration // between two members that may take over
+	fallback         time.Duration // without a follower, until the first other member takes over
+}
+
+func newTiming(b fleet.Bounds) timing {
+	bound := min(max(b.Propagation(), minBound), maxBound)
+	share := func(f float64) time.Duration { return time.Duration(f * float64(bound)) }
+	return timing{
+		silence: share(silenceShare), standbyHeartbeat: share(standbyHeartbeatShare),
+		step: share(takeoverStepShare), fallback: LivenessTimeout + share(fallbackShare),
+	}
 }
 
 // New returns a roster that contains only the instance itself.
@@ -115,9 +159,20 @@
 	// A new instance follows the store until it learns of a follower with a
 	// better rank. Otherwise there would be no follower after all instances
 	// have started together.
-	return &Roster{self: self, status: Status{StoreResponseAge: -1}, members: map[string]*member{}, following: true}
+	return &Roster{
+		self: self, status: Status{StoreResponseAge: -1}, members: map[string]*member{}, following: true,
+		timing: newTiming(fleet.DefaultBounds()),
+	}
 }
 
+// SetBounds sets the bounds of the deployment, from which the times of a takeover
+// follow.
+func (r *Roster) SetBounds(b fleet.Bounds) { r.timing = newTiming(b) }
+
+// TakeoverStep is the time between two members that may take over from a follower.
+// FollowsStore is to be called at least once in this time.
+func (r *Roster) TakeoverStep() time.Duration { return r.timing.step }
+
 // SetSelf sets the status of the instance itself.
 func (r *Roster) SetSelf(s Status) { r.status = s }
 
@@ -178,9 +233,13 @@
 	wasAlive := known.alive(now)
 	switch {
 	case s.follows():
-		known.lostStore = false
+		known.lostStoreAt = time.Time{}
+		if known.Region == r.self.Region {
+			r.followerSeenAt, r.standbyRank = now, s.StandbyRank
+			r.following = r.following && !rankedBefore(known.Member, r.self)
+		}
 	case known.status.follows():
-		known.lostStore = true
+		known.lostStoreAt = now
 		if known.Region == r.self.Region {
 			r.lossReportedAt = now
 		}
@@ -286,32 +345,100 @@
 }
 
 // FollowsStore reports whether the instance itself follows the store for its
-// region. It stops when there is a follower with a better rank, and starts when
-// the region had no follower for some time.
+// region. It stops when it hears of a follower with a better rank, and starts when
+// no follower was heard for some time.
 func (r *Roster) FollowsStore(now time.Time) bool {
+	if r.followerSeenAt.IsZero() || now.Sub(r.checkedAt) > r.timing.silence/2 {
+		// After a pause of its own, the instance has heard nobody for long.
+		r.followerSeenAt = now
+	}
+	r.checkedAt = now
+	silence := now.Sub(r.followerSeenAt)
+	if r.following || r.status.State == Leaving || silence < r.timing.silence && r.lossReportedAt.IsZero() {
+		return r.following
+	}
 	rank := 0
 	for _, m := range r.members {
 		if m.Region != r.self.Region {
 			continue
 		}
-		better := rankedBefore(m.Member, r.self)
-		if better {
+		if rankedBefore(m.Member, r.self) {
 			rank++
 		}
-		if m.alive(now) && m.status.follows() {
-			r.followerSeenAt = now
+		if m.status.follows() && r.inContact(now, m) {
 			r.lossReportedAt = time.Time{}
-			r.following = r.following && !better
 		}
 	}
-	if r.followerSeenAt.IsZero() {
-		r.followerSeenAt = now
+	r.following = silence >= r.takeoverAfter(rank) || r.replacesLostFollower(now, rank)
+	return r.following
+}
+
+// inContact reports whether a member was heard recently enough for a follower: a
+// standby hears more often from one than other members do.
+func (r *Roster) inContact(now time.Time, m *member) bool {
+	return m.alive(now) && (r.standbyRank == 0 || now.Sub(m.lastHeartbeat) < r.timing.silence)
+}
+
+// takeoverAfter returns how long the region must be without a follower until the
+// instance takes over. rank is that of the instance among all members of the region.
+func (r *Roster) takeoverAfter(rank int) time.Duration {
+	if r.standbyRank > 0 {
+		return r.timing.silence + time.Duration(r.standbyRank-1)*r.timing.step
 	}
-	if !r.following && r.status.State != Leaving {
-		wait := takeoverDelay + takeoverStep*time.Duration(min(rank, maxTakeoverRank))
-		r.following = now.Sub(r.followerSeenAt) >= wait || r.replacesLostFollower(now, rank)
+	return r.timing.fallback + 2*r.timing.step*time.Duration(min(rank, maxTakeoverRank))
+}
+
+// Standbys returns the members that replace this instance if it follows the store and
+// falls silent, in order. It exchanges heartbeats with its whole region and knows who is
+// alive; others remember dead members for minutes. The first standby belongs to another
+// failure domain if possible, because a domain may fail as a whole.
+func (r *Roster) Standbys(now time.Time) []string {
+	if !r.following || r.status.State == Leaving {
+		return nil
 	}
-	return r.following
+	if !r.standbysAt.IsZero() && now.Sub(r.standbysAt) < standbyRefresh {
+		return r.standbys
+	}
+	r.standbysAt = now
+	var candidates []*member
+	for _, m := range r.members {
+		if m.Region == r.self.Region && m.alive(now) && m.status.State != Leaving && !m.missedHeartbeatAt.After(m.lastHeartbeat) {
+			candidates = append(candidates, m)
+		}
+	}
+	r.standbys = nil
+	for len(candidates) > 0 && len(r.standbys) < maxStandbys {
+		first := len(r.standbys) == 0
+		best := slices.MinFunc(candidates, func(a, b *member) int {
+			return cmp.Or(
+				compareBool(a.lostStore(now), b.lostStore(now)),
+				compareBool(first && a.FailureDomain == r.self.FailureDomain, first && b.FailureDomain == r.self.FailureDomain),
+				compareBool(rankedBefore(b.Member, a.Member), rankedBefore(a.Member, b.Member)),
+			)
+		})
+		r.standbys = append(r.standbys, best.ID)
+		candidates = slices.DeleteFunc(candidates, func(m *member) bool { return m == best })
+	}
+	return r.standbys
+}
+
+// StandbyRank returns the place of a member among Standbys, from 1; 0 if it is none.
+func (r *Roster) StandbyRank(now time.Time, id string) int {
+	return 1 + slices.Index(r.Standbys(now), id)
+}
+
+// HeartbeatInterval returns the interval of heartbeats to a member, given that to
+// members that are no standbys.
+func (r *Roster) HeartbeatInterval(now time.Time, id string, regular time.Duration) time.Duration {
+	if r.StandbyRank(now, id) > 0 {
+		return min(regular, r.timing.standbyHeartbeat)
+	}
+	return regular
+}
+
+// lostStore reports whether the member has recently lost the store.
+func (m *member) lostStore(now time.Time) bool {
+	return !m.lostStoreAt.IsZero() && now.Sub(m.lostStoreAt) < unresponsiveTTL
 }
 
 // replacesLostFollower reports whether the instance takes over from a follower of
@@ -323,11 +450,11 @@
 		return false
 	}
 	for _, m := range r.members {
-		if m.Region == r.self.Region && rankedBefore(m.Member, r.self) && (m.lostStore || r.unresponsive(now, m.ID)) {
+		if m.Region == r.self.Region && rankedBefore(m.Member, r.self) && (m.lostStore(now) || r.unresponsive(now, m.ID)) {
 			rank--
 		}
 	}
-	return rank < lossCandidates && now.Sub(r.lossReportedAt) >= lossTakeoverStep*time.Duration(rank)
+	return rank < lossCandidates && now.Sub(r.lossReportedAt) >= r.timing.step*time.Duration(rank)
 }
 
 // RanksFirst reports whether no responsive member of the region ranks before the
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -257,9 +257,9 @@
 		rosters[i] = r
 	}
 	for i, r := range rosters {
-		takesOverAt := time.Second + time.Duration(i-1)*lossTakeoverStep
+		takesOverAt := time.Second + time.Duration(i-1)*r.timing.step
 		if i > lossCandidates {
-			require.False(t, r.FollowsStore(at(takeoverDelay)), "rank %d", i)
+			require.False(t, r.FollowsStore(at(2*time.Second)), "rank %d", i)
 			continue
 		}
 		require.Equal(t, i == 1, r.FollowsStore(at(time.Second)), "rank %d", i)
