--- a/pkg/httpserver/conn.go
+++ b/pkg/httpserver/conn.go
@@ -87,7 +87,7 @@
 	expired      bool      // the read deadline has been moved to the past
 }
 
-// Read undoes expire if there are bytes: they arrived before.
+// Read undoes expire if it returns bytes.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 {
@@ -159,14 +159,13 @@
 }
 
 // expire makes reading fail, so that net/http closes the connection. It must only be
-// called while no request is being served. A request of which the last byte has been
-// read, or is read at the same time, is served nevertheless: reading either returns
-// bytes or fails, and only the reader closes the connection. Bytes that have arrived and
-// wait to be read prevent it.
+// called while no request is being served. Only the goroutine that reads closes the
+// connection, and a read returns either bytes or the failure: a request of which the last
+// byte is read at the same time is served.
 //
-// It has no effect on a connection whose first request, or the rest of whose next
-// one, may be on its way: these get the time until patience has passed. It reports
-// whether reading will fail.
+// It has no effect if unread bytes wait in the socket, nor, until patience has passed,
+// on a connection whose first request, or the rest of whose next one, may be on its way.
+// It reports whether reading will fail.
 func (c *conn) expire(now time.Time, patience time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/ingress/stop.go
+++ b/pkg/ingress/stop.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/dandelionrack/dandelionrack/pkg/httpserver"
 )
 
 const (
@@ -88,37 +90,53 @@
 		defer close(unregistered)
 		g.unregister(ctx)
 	}()
-	// The other listeners serve until the one for clients has closed, and have time to
-	// close if it does not.
 	clientsDone := make(chan struct{})
-	var others sync.WaitGroup
-	for _, other := range s.others {
-		others.Go(func() {
-			select {
-			case <-clientsDone:
-			case <-g.abandoned.Done():
-			}
-			if err := other.Shutdown(ctx); err != nil {
-				g.log.write(hclog.Warn, "listener did not close in time", "error", err)
-			}
-		})
-	}
+	othersDone := g.closeAfterClients(ctx, s.others, clientsDone)
 	time.Sleep(time.Until(schedule.listenUntil))
-	open := s.clients.Connections()
+	g.closeClients(ctx, s.clients, schedule)
+	close(clientsDone)
+	<-othersDone
+	<-unregistered
+	if err := g.peerServer.Shutdown(ctx); err != nil {
+		g.log.write(hclog.Warn, "peers' listener did not close in time", "error", err)
+	}
+	g.log.write(hclog.Info, "stopped", "after", time.Since(schedule.began))
+}
+
+// closeClients closes the listener for clients once requests in flight have ended.
+func (g *Ingress) closeClients(ctx context.Context, clients *httpserver.Server, schedule *stopSchedule) {
+	open := clients.Connections()
 	g.log.write(hclog.Info, "stopping: listener for clients closes", "after_ms", time.Since(schedule.began).Milliseconds(),
 		"unused", open.Unused, "idle", open.Idle, "active", open.Active, "requests", g.inFlight.count())
-	if err := s.clients.Shutdown(ctx); err != nil {
-		g.log.write(hclog.Error, "requests were still in flight at the end of the grace period", "error", err)
+	if err := clients.Shutdown(ctx); err != nil {
+		g.log.write(hclog.Error, "connections were still open at the end of the grace period", "error", err)
 	}
 	for _, r := range g.inFlight.all() {
 		g.log.writeLimited("cut off", hclog.Error, "request cut off by the end of the process", "request", r.head.ID,
 			"age_ms", time.Since(r.arrived).Milliseconds(), "arrived_after_stop_ms", r.arrived.Sub(schedule.began).Milliseconds())
 	}
-	close(clientsDone)
-	others.Wait()
-	<-unregistered
-	if err := g.peerServer.Shutdown(ctx); err != nil {
-		g.log.write(hclog.Warn, "peers' listener did not close in time", "error", err)
+}
+
+// closeAfterClients closes the other listeners once clientsDone is closed, or when
+// requests in flight are given up: the clients' connections may take the rest of the
+// time. The returned channel is closed when they have closed.
+func (g *Ingress) closeAfterClients(ctx context.Context, servers []*httpserver.Server, clientsDone <-chan struct{}) <-chan struct{} {
+	done := make(chan struct{})
+	var running sync.WaitGroup
+	for _, s := range servers {
+		running.Go(func() {
+			select {
+			case <-clientsDone:
+			case <-g.abandoned.Done():
+			}
+			if err := s.Shutdown(ctx); err != nil {
+				g.log.write(hclog.Warn, "listener did not close in time", "error", err)
+			}
+		})
 	}
-	g.log.write(hclog.Info, "stopped", "after", time.Since(schedule.began))
+	go func() {
+		running.Wait()
+		close(done)
+	}()
+	return done
 }
