--- a/internal/soak/bed.go
+++ b/internal/soak/bed.go
@@ -124,9 +124,14 @@
 	for _, service := range []string{serviceReads, serviceWrites} {
 		for _, domain := range domainNames {
 			for i := range serversPerGroup + 1 {
+				// Another process could take a port of 127.0.0.1 while the server is down.
+				addr, err := testbed.FreeAddr()
+				if err != nil {
+					return err
+				}
 				s := &server{domain: domain, Backend: &standin.Backend{
 					ID: fmt.Sprintf("%s-%s-%d", service, domain, i), Service: service, Region: domains[domain],
-					Slots: slots, ServiceTime: meanServiceTime, Observe: e.checker.RequestReceived,
+					Slots: slots, ServiceTime: meanServiceTime, Listen: addr, Observe: e.checker.RequestReceived,
 				}}
 				s.link = "server/" + s.ID + "/"
 				if err := s.Start(); err != nil {
