soak: clients that keep connections, slow servers, late requests in planned stops

New: clients that use a connection until it ends, wait before the first request or send in parts; slow servers that count as sound; planned stops while clients open connections. They have random numbers of their own. The check counts losses as the process exits, runs after the loss, and the instance's own response in place of the server's.

Left out: a head that is not whole 5 s after the connection was opened gets 400 (net/http, when the read deadline falls within a line). Clients send it within 3 s.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -22,8 +22,8 @@
 	// some last longer than the timeouts of the system (2.5 to 6.5 s).
 	minInterval    = 100 * time.Millisecond
 	intervalSpread = 1200 * time.Millisecond
-	// minNoticeInterval is the minimum between two servers that announce something:
-	// they stay faulty for longer than others.
+	// minNoticeInterval is the minimum between two servers that announce something or
+	// are slow: they stay so for longer than others.
 	minNoticeInterval = time.Second
 	minDuration       = 200 * time.Millisecond
 	durationSpread    = 5 * time.Second
@@ -48,6 +48,7 @@
 func planFaults(seed uint64, d time.Duration) []plannedFault {
 	out := drawFaults(rand.New(rand.NewPCG(seed, 1)), d, faultKinds, minInterval)
 	out = append(out, drawFaults(rand.New(rand.NewPCG(seed, 2)), d, noticeFaultKinds, minNoticeInterval)...)
+	out = append(out, drawFaults(rand.New(rand.NewPCG(seed, 3)), d, slowFaultKinds, minNoticeInterval)...)
 	slices.SortStableFunc(out, func(a, b plannedFault) int { return cmp.Compare(a.at, b.at) })
 	return out
 }
@@ -270,6 +271,15 @@
 // reserveServer reserves a server for a fault. It returns nil if too many servers
 // are faulty or the selected one is already.
 func (e *environment) reserveServer(f plannedFault) *server {
+	srv := e.claimServer(f)
+	if srv != nil {
+		e.checker.RecordFault(time.Now(), "server", srv.ID, true)
+	}
+	return srv
+}
+
+// claimServer is like reserveServer, but the server counts as sound in the checks.
+func (e *environment) claimServer(f plannedFault) *server {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.faultyServers >= len(e.servers)/faultyServersDivisor {
@@ -281,7 +291,6 @@
 	}
 	srv.faulty = true
 	e.faultyServers++
-	e.checker.RecordFault(time.Now(), "server", srv.ID, true)
 	return srv
 }
 
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -30,6 +30,9 @@
 	toleratedCases = 3
 	// timeoutSlack is how much longer than its time limit a request may take.
 	timeoutSlack = 500 * time.Millisecond
+	// limitMargin is the time before the limit of a request from which on a response
+	// without its server's is due to the limit.
+	limitMargin = 50 * time.Millisecond
 )
 
 // Invariant is a guarantee that must hold throughout a run.
@@ -72,7 +75,9 @@
 	standin.Request
 	route      *fleet.Route
 	instance   string
-	at         time.Time
+	at         time.Time // when the client began to send it
+	sentAt     time.Time // when it was sent whole; zero if at once
+	lostAt     time.Time // when its connection ended without a response
 	bodySum    string
 	executions int
 	received   int // copies that reached a server, including rejected ones
@@ -305,6 +310,9 @@
 	}
 	s.executions++
 	s.server = r.Server
+	if !s.lostAt.IsZero() && s.executions == 1 {
+		c.checkLost(s.lostAt, s, "the connection had ended before")
+	}
 	if s.executions > 1 && !s.route.Idempotent {
 		c.addViolation(r.At, AtMostOnce, "%s by %s", s.ID, s.instance)
 	}
@@ -326,10 +334,10 @@
 	if !c.stable(r.At, s.instance) || !historyOf(c.serverFaults, r.Server).noneSince(r.At.Add(-stableWindow)) {
 		return
 	}
-	if at := c.withdrawn[r.Server]; !at.IsZero() && r.At.Sub(c.boundsApplyFrom(at)) > c.bounds.Drain && s.at.After(at) {
+	if at := c.withdrawn[r.Server]; !at.IsZero() && r.Reached.Sub(c.boundsApplyFrom(at)) > c.bounds.Drain && s.at.After(at) {
 		c.addViolation(r.At, DrainDeadline, "%s by %s ran at %s %v after the change", s.ID, s.instance, r.Server, r.At.Sub(at))
 	}
-	if at := c.evacuated[c.domains[r.Server]]; !at.IsZero() && r.At.Sub(c.boundsApplyFrom(at)) > evacuateBound && s.at.After(at) {
+	if at := c.evacuated[c.domains[r.Server]]; !at.IsZero() && r.Reached.Sub(c.boundsApplyFrom(at)) > evacuateBound && s.at.After(at) {
 		c.addViolation(r.At, EvacuationDeadline, "%s by %s ran at %s %v after the change", s.ID, s.instance, r.Server, r.At.Sub(at))
 	}
 }
@@ -377,15 +385,24 @@
 		}
 	case r.Status < 500:
 		c.counts["denied"]++
-		c.addViolation(now, NoFalseClientError, "%s by %s: status %d", s.ID, s.instance, r.Status)
+		c.addViolation(now, NoFalseClientError, "%s by %s: status %d, body begins with %q", s.ID, s.instance, r.Status, r.Server)
 	default:
 		c.counts["failed"]++
+		if s.executions > 0 && !r.Signed && now.Sub(s.at) < s.limit()-limitMargin {
+			c.checkStop(now, s, fmt.Sprintf("status %d in place of the server's response", r.Status))
+		}
 	}
 }
 
+// limit returns the time after which a request may end without the server's response.
+func (s *clientRequest) limit() time.Duration { return min(s.route.Timeout, s.TimeLeft) }
+
 func (c *Checker) checkTime(now time.Time, s *clientRequest) {
-	limit := min(s.route.Timeout, s.TimeLeft)
-	if took := now.Sub(s.at); took > limit+timeoutSlack && c.stable(now, s.instance) && historyOf(c.instanceFaults, s.instance).noneSince(s.at) {
+	from := s.at
+	if !s.sentAt.IsZero() {
+		from = s.sentAt
+	}
+	if took := now.Sub(from); took > s.limit()+timeoutSlack && c.stable(now, s.instance) && historyOf(c.instanceFaults, s.instance).noneSince(s.at) {
 		c.addViolation(now, ResponseDeadline, "%s by %s took %v", s.ID, s.instance, took)
 	}
 }
@@ -394,22 +411,44 @@
 func (c *Checker) ResponseLost(now time.Time, s *clientRequest, cause error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s.ended = true
+	s.ended, s.lostAt = true, now
 	c.counts["lost"]++
 	c.checkTime(now, s)
-	from := s.at.Add(-stableWindow)
-	serverHealthy := s.server == "" || historyOf(c.serverFaults, s.server).noneSince(from)
-	if s.executions == 0 || !serverHealthy || !historyOf(c.instanceFaults, s.instance).noneSince(from) || !c.storeFaults.noneSince(from) {
+	if s.executions > 0 {
+		c.checkLost(now, s, cause.Error())
+	}
+}
+
+// checkLost checks a request that ran and whose connection ended without a response.
+func (c *Checker) checkLost(now time.Time, s *clientRequest, cause string) {
+	if c.checkStop(now, s, cause) {
 		return
 	}
-	if _, down := c.dead[s.instance]; !historyOf(c.plannedStops, s.instance).noneSince(from) && !down {
-		// A planned stop must not abort any request.
-		c.addViolation(now, NoLostResponse, "%s by %s, planned stop, ran at %s: %v", s.ID, s.instance, s.server, cause)
+	from := s.at.Add(-stableWindow)
+	if !c.sound(s, from) || !c.storeFaults.noneSince(from) {
 		return
 	}
 	if c.lostResponses++; c.lostResponses > toleratedCases {
-		c.addViolation(now, NoLostResponse, "%s by %s ran at %s: %v", s.ID, s.instance, s.server, cause)
+		c.addViolation(now, NoLostResponse, "%s by %s ran at %s: %s", s.ID, s.instance, s.server, cause)
+	}
+}
+
+// checkStop reports whether a request that ran and has no response from its server was
+// handled around a planned stop, which must not abort any request. Store faults are no
+// excuse.
+func (c *Checker) checkStop(now time.Time, s *clientRequest, cause string) bool {
+	from := s.at.Add(-stableWindow)
+	if !c.sound(s, from) || historyOf(c.plannedStops, s.instance).noneSince(from) {
+		return false
 	}
+	c.addViolation(now, NoLostResponse, "%s by %s, planned stop, ran at %s: %s", s.ID, s.instance, s.server, cause)
+	return true
+}
+
+// sound reports whether neither a request's entry instance nor its server has had a
+// fault since a time, planned stops aside.
+func (c *Checker) sound(s *clientRequest, from time.Time) bool {
+	return historyOf(c.serverFaults, s.server).noneSince(from) && historyOf(c.instanceFaults, s.instance).noneSince(from)
 }
 
 // LookupResponseReceived records and checks a lookup response of an entry instance.
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -20,7 +20,7 @@
 func request(c *Checker, id string, r *fleet.Route, seconds float64) (*clientRequest, standin.BackendRequest) {
 	s := &clientRequest{Request: standin.Request{ID: id, Method: "POST", Target: "/x", TimeLeft: clientTimeout}, route: r, instance: "g", at: at(seconds), bodySum: "sum"}
 	c.RequestSent(s)
-	return s, standin.BackendRequest{Server: "s", Service: serviceReads, RequestID: id, Method: "POST", Target: "/x", BodySum: "sum", Region: "north", At: at(seconds)}
+	return s, standin.BackendRequest{Server: "s", Service: serviceReads, RequestID: id, Method: "POST", Target: "/x", BodySum: "sum", Region: "north", Reached: at(seconds), At: at(seconds)}
 }
 
 // limitedServer records requests to a server that has named a limit of 2 a second.
@@ -167,6 +167,43 @@
 			c.RequestReceived(r)
 			c.ResponseLost(at(10.2), s, errors.New("EOF"))
 		}},
+		{"lost as the process exits in a planned stop, store faulty", NoLostResponse, func(c *Checker) {
+			c.RecordFault(at(9), "store", "", true)
+			c.RecordFault(at(10), "stop", "g", true)
+			s, r := request(c, "1", nonIdempotent, 15)
+			c.RequestReceived(r)
+			c.SetDown(at(15.7), "g", true)
+			c.ResponseLost(at(15.8), s, errors.New("EOF"))
+		}},
+		{"runs after the loss at a planned stop", NoLostResponse, func(c *Checker) {
+			c.RecordFault(at(10), "stop", "g", true)
+			s, r := request(c, "1", nonIdempotent, 15)
+			c.ResponseLost(at(15.8), s, errors.New("EOF"))
+			r.At = at(15.9)
+			c.RequestReceived(r)
+		}},
+		{"lost before it was passed on at a planned stop", "", func(c *Checker) {
+			c.RecordFault(at(10), "stop", "g", true)
+			s, _ := request(c, "1", nonIdempotent, 15)
+			c.ResponseLost(at(15.8), s, errors.New("EOF"))
+		}},
+		{"own response at a planned stop", NoLostResponse, func(c *Checker) {
+			c.RecordFault(at(10), "stop", "g", true)
+			s, r := request(c, "1", nonIdempotent, 15)
+			c.RequestReceived(r)
+			c.ResponseReceived(at(15.5), s, standin.Response{Status: 502})
+		}},
+		{"own response at the time limit, planned stop", "", func(c *Checker) {
+			c.RecordFault(at(10), "stop", "g", true)
+			s, r := request(c, "1", nonIdempotent, 12)
+			c.RequestReceived(r)
+			c.ResponseReceived(at(13), s, standin.Response{Status: 504})
+		}},
+		{"sent slowly", "", func(c *Checker) {
+			s, _ := request(c, "1", idempotent, 10)
+			s.sentAt = at(11)
+			c.ResponseReceived(at(11.7), s, served)
+		}},
 		{"lost at a kill", "", func(c *Checker) {
 			c.RecordFault(at(10), "gate", "g", true)
 			s, r := request(c, "1", idempotent, 10.1)
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -109,21 +109,7 @@
 	if inst == nil {
 		return
 	}
-	c.env.mu.Lock()
-	doc := c.env.document()
-	c.env.mu.Unlock()
-	route := c.pickRoute(doc.Routes)
-	c.requestCount++
-	s := &clientRequest{
-		Request: standin.Request{
-			ID: fmt.Sprintf("c%d-%d", c.number, c.requestCount), Host: host, Method: http.MethodPost, TimeLeft: clientTimeout,
-			Target: route.Prefix + fmt.Sprintf("item?n=%d", c.requestCount), AffinityKey: fmt.Sprint(c.random.IntN(affinityKeyCount)),
-		},
-		route: route, instance: inst.ID, at: time.Now(),
-	}
-	s.Body = fmt.Sprintf("%s %0*d", s.ID, c.random.IntN(maxBodyPadding)+1, 0)
-	sum := sha256.Sum256([]byte(s.Body))
-	s.bodySum = hex.EncodeToString(sum[:])
+	s := c.newRequest("c", inst)
 	cancels := c.random.Float64() < cancelShare
 	c.env.checker.RequestSent(s)
 	timeout := responseWait
@@ -148,6 +134,26 @@
 	}
 }
 
+// newRequest draws a request. The prefix of its ID distinguishes kinds of clients.
+func (c *client) newRequest(prefix string, inst *entryInstance) *clientRequest {
+	c.env.mu.Lock()
+	doc := c.env.document()
+	c.env.mu.Unlock()
+	route := c.pickRoute(doc.Routes)
+	c.requestCount++
+	s := &clientRequest{
+		Request: standin.Request{
+			ID: fmt.Sprintf("%s%d-%d", prefix, c.number, c.requestCount), Host: host, Method: http.MethodPost, TimeLeft: clientTimeout,
+			Target: route.Prefix + fmt.Sprintf("item?n=%d", c.requestCount), AffinityKey: fmt.Sprint(c.random.IntN(affinityKeyCount)),
+		},
+		route: route, instance: inst.ID, at: time.Now(),
+	}
+	s.Body = fmt.Sprintf("%s %0*d", s.ID, c.random.IntN(maxBodyPadding)+1, 0)
+	sum := sha256.Sum256([]byte(s.Body))
+	s.bodySum = hex.EncodeToString(sum[:])
+	return s
+}
+
 // pickRoute returns a random route that allows the client's region.
 func (c *client) pickRoute(routes []fleet.Route) *fleet.Route {
 	for {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -77,12 +77,17 @@
 	for i := range o.Clients {
 		clients.Go(func() { newClient(e, i, o.Seed).run(loadCtx) })
 	}
+	for i := range o.Clients / 2 {
+		clients.Go(func() { newKeptClient(e, i, o.Seed).run(loadCtx) })
+	}
 	faultPlan := planFaults(o.Seed, o.FaultDuration)
 	e.inject(ctx, o, faultPlan, &faults)
 	faults.Wait()
 	if err := e.awaitReady(ctx, readyTimeout); err != nil && ctx.Err() == nil {
 		checker.AddViolation(time.Now(), Recovery, "%v", err)
 	}
+	_ = wait.Sleep(ctx, stableWindow) // stops early if the run is canceled
+	e.stopInSeries(ctx, o)
 	_ = wait.Sleep(ctx, recoveryPeriod-measuredPeriod) // stops early if the run is canceled
 	before := checker.Counts()
 	_ = wait.Sleep(ctx, measuredPeriod) // stops early if the run is canceled
