soak: long bodies, late reads, responses without a length

Clients that keep connections send 3 % of their bodies with 33 KiB to 1,000 KiB. New faults, with random numbers of their own: servers that read a body late and in parts; responses that end with their connection, some of them reset midway. Not covered: servers that respond before they have read the body, or never read it.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -49,6 +49,7 @@
 	out := drawFaults(rand.New(rand.NewPCG(seed, 1)), d, faultKinds, minInterval)
 	out = append(out, drawFaults(rand.New(rand.NewPCG(seed, 2)), d, noticeFaultKinds, minNoticeInterval)...)
 	out = append(out, drawFaults(rand.New(rand.NewPCG(seed, 3)), d, slowFaultKinds, minNoticeInterval)...)
+	out = append(out, drawFaults(rand.New(rand.NewPCG(seed, 5)), d, bodyFaultKinds, minNoticeInterval)...)
 	slices.SortStableFunc(out, func(a, b plannedFault) int { return cmp.Compare(a.at, b.at) })
 	return out
 }
--- a/internal/soak/kept.go
+++ b/internal/soak/kept.go
@@ -93,6 +93,7 @@
 // send sends a request and reports whether a response arrived.
 func (c keptClient) send(ctx context.Context, conn *standin.Conn, inst *entryInstance, inParts bool) bool {
 	s := c.newRequest("k", inst)
+	c.lengthen(s)
 	if c.random.IntN(2) == 0 {
 		s.TimeLeft = longClientTimeout
 	}
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -148,12 +148,15 @@
 		},
 		route: route, instance: inst.ID, at: time.Now(),
 	}
-	s.Body = fmt.Sprintf("%s %0*d", s.ID, c.random.IntN(maxBodyPadding)+1, 0)
-	sum := sha256.Sum256([]byte(s.Body))
-	s.bodySum = hex.EncodeToString(sum[:])
+	s.setBody(fmt.Sprintf("%s %0*d", s.ID, c.random.IntN(maxBodyPadding)+1, 0))
 	return s
 }
 
+func (s *clientRequest) setBody(body string) {
+	sum := sha256.Sum256([]byte(body))
+	s.Body, s.bodySum = body, hex.EncodeToString(sum[:])
+}
+
 // pickRoute returns a random route that allows the client's region.
 func (c *client) pickRoute(routes []fleet.Route) *fleet.Route {
 	for {
