--- a/cmd/drsoak/main.go
+++ b/cmd/drsoak/main.go
@@ -24,13 +24,22 @@
 	"Exit codes: 0 no invariant violated, 1 failure, 2 usage."
 
 type commandLine struct {
-	Bin     string           `help:"Folder with the built programs." default:"bin"`
-	Seed    []uint64         `help:"Seeds to play; by default new ones."`
-	Runs    int              `help:"Number of new seeds if none is given." default:"1"`
-	Faults  time.Duration    `help:"How long new faults are injected in each run." default:"30s"`
-	Clients int              `help:"Number of clients that send requests." default:"40"`
-	Verbose bool             `help:"Print each fault."`
-	Version kong.VersionFlag `help:"Print the version and exit."`
+	Bin     string        `help:"Folder with the built programs." default:"bin"`
+	Seed    []uint64      `help:"Seeds to play; by default new ones."`
+	Runs    int           `help:"Number of new seeds if none is given." default:"1"`
+	Faults  time.Duration `help:"How long new faults are injected in each run." default:"30s"`
+	Clients int           `help:"Number of clients that send requests." default:"40"`
+	Verbose bool          `help:"Print each fault."`
+
+	Play        string           `help:"What to play: faults drawn from the seed, the planned removal of most entry instances, or a frozen follower of the store." enum:"faults,removal,follower" default:"faults"`
+	Instances   int              `help:"Number of entry instances; all but three leave in a removal." default:"8"`
+	OneRegion   bool             `help:"Put all failure domains into one region."`
+	Bound       time.Duration    `help:"Time within which changes in the store must take effect, with a frozen follower; by default 2.5 s."`
+	Logs        string           `help:"Folder that keeps the logs of all runs; by default those of failed runs are kept in a temporary one."`
+	Connections int              `help:"Connections of clients for each entry instance, in a removal." default:"40"`
+	MaxPause    time.Duration    `help:"Longest pause of a client between two requests, in a removal." default:"4s"`
+	CPUShare    []float64        `name:"cpu-share" help:"Shares of a core that entry instances may use, in turn; by default all of it."`
+	Version     kong.VersionFlag `help:"Print the version and exit."`
 }
 
 func main() {
@@ -72,7 +81,7 @@
 // runSeed runs one seed and reports whether an invariant was violated. The logs of
 // such a run are kept.
 func runSeed(ctx context.Context, cl commandLine, seed uint64) (bool, error) {
-	dir, err := os.MkdirTemp("", "drsoak-")
+	dir, err := os.MkdirTemp(cl.Logs, "drsoak-")
 	if err != nil {
 		return false, errors.Wrap(err, "create the log folder")
 	}
@@ -81,11 +90,14 @@
 		return false, errors.Wrap(err, "create the fault list")
 	}
 	defer faults.Close()
-	o := soak.Options{Bin: cl.Bin, Dir: dir, Seed: seed, FaultDuration: cl.Faults, Clients: cl.Clients, FaultLog: faults}
+	o := soak.Options{
+		Bin: cl.Bin, Dir: dir, Seed: seed, FaultDuration: cl.Faults, Clients: cl.Clients, FaultLog: faults,
+		Layout: soak.Layout{Instances: cl.Instances, OneRegion: cl.OneRegion, CPUShares: cl.CPUShare},
+	}
 	if cl.Verbose {
 		o.FaultLog = io.MultiWriter(faults, os.Stdout)
 	}
-	report, err := soak.Run(ctx, o)
+	report, err := play(ctx, cl, o)
 	if err != nil {
 		return false, errors.Wrapf(err, "seed %d, logs in %s", seed, dir)
 	}
@@ -97,8 +109,22 @@
 		fmt.Println("   logs:", dir)
 		return true, nil
 	}
+	if cl.Logs != "" {
+		return false, nil
+	}
 	if err := os.RemoveAll(dir); err != nil {
 		return false, errors.Wrap(err, "remove logs")
 	}
 	return false, nil
 }
+
+func play(ctx context.Context, cl commandLine, o soak.Options) (soak.Report, error) {
+	switch cl.Play {
+	case "removal":
+		return soak.RunRemoval(ctx, o, soak.Removal{AtOnce: 3, Interval: 1300 * time.Millisecond, ConnectionsPerInstance: cl.Connections, MaxPause: cl.MaxPause})
+	case "follower":
+		return soak.RunFrozenFollower(ctx, o, soak.FrozenFollower{Rounds: 3, Frozen: 4 * time.Second, Lead: 300 * time.Millisecond, Bound: cl.Bound})
+	default:
+		return soak.Run(ctx, o)
+	}
+}
--- a/internal/soak/bed.go
+++ b/internal/soak/bed.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,7 +20,7 @@
 	"github.com/dandelionrack/dandelionrack/platform/standin"
 )
 
-// The deployment has two regions with two failure domains each, and two services.
+// The deployment has four failure domains and two services.
 const (
 	host          = "shop.example"
 	switchedRoute = "move"
@@ -31,14 +32,13 @@
 	startTimeout  = 15 * time.Second
 	// meanServiceTime and 3 servers per service and failure domain keep about half
 	// of the slots busy.
-	meanServiceTime    = 40 * time.Millisecond
-	serversPerGroup    = 3
-	instancesPerDomain = 2
-	linkDelay          = config.Duration(2 * time.Millisecond) // one way
+	meanServiceTime = 40 * time.Millisecond
+	serversPerGroup = 3
+	linkDelay       = config.Duration(2 * time.Millisecond) // one way
+	// metricsPort is that of all entry instances, each of which has its own IP address.
+	metricsPort = 7555
 )
 
-var domains = map[string]string{"north-a": "north", "north-b": "north", "south-a": "south", "south-b": "south"}
-
 var domainNames = []string{"north-a", "north-b", "south-a", "south-b"}
 
 // entryInstance is an entry instance that runs as a separate process.
@@ -63,6 +63,8 @@
 // in this process, each entry instance in its own process.
 type environment struct {
 	dir       string
+	layout    Layout
+	domains   map[string]string // failure domain to region
 	processes *testbed.Processes
 	checker   *Checker
 	store     *standin.Store
@@ -83,7 +85,10 @@
 }
 
 func newEnvironment(ctx context.Context, o Options, checker *Checker) (*environment, error) {
-	e := &environment{dir: o.Dir, processes: testbed.NewProcesses(o.Bin, o.Dir), checker: checker, version: 2, httpClient: newHTTPClient()}
+	e := &environment{
+		dir: o.Dir, layout: o.Layout, domains: o.Layout.domains(), processes: testbed.NewProcesses(o.Bin, o.Dir), checker: checker,
+		version: 2, httpClient: newHTTPClient(),
+	}
 	if err := e.start(ctx); err != nil {
 		e.close()
 		return nil, err
@@ -130,7 +135,7 @@
 					return err
 				}
 				s := &server{domain: domain, Backend: &standin.Backend{
-					ID: fmt.Sprintf("%s-%s-%d", service, domain, i), Service: service, Region: domains[domain],
+					ID: fmt.Sprintf("%s-%s-%d", service, domain, i), Service: service, Region: e.domains[domain],
 					Slots: slots, ServiceTime: meanServiceTime, Listen: addr, Observe: e.checker.RequestReceived,
 				}}
 				s.link = "server/" + s.ID + "/"
@@ -151,10 +156,12 @@
 }
 
 func (e *environment) configureInstances() error {
-	for _, domain := range domainNames {
-		for i := range instancesPerDomain {
+	total := e.layout.instances()
+	for i, domain := range domainNames {
+		count := (total + len(domainNames) - 1 - i) / len(domainNames)
+		for k := range count {
 			inst := &entryInstance{InstanceConfig: fleet.InstanceConfig{
-				ID: fmt.Sprintf("%s-%d", domain, i), FailureDomain: domain, Region: domains[domain], DomainRegions: domains,
+				ID: fmt.Sprintf("%s-%d", domain, k), FailureDomain: domain, Region: e.domains[domain], DomainRegions: e.domains,
 				HeartbeatInterval: 1500 * time.Millisecond, MaxOpenFiles: 4096, Bounds: e.checker.bounds,
 			}}
 			for _, addrField := range []*string{&inst.ClientAddr, &inst.ReadyAddr, &inst.PeerAddr, &inst.DirectoryAddr} {
@@ -242,7 +249,7 @@
 	if err := os.WriteFile(inst.settingsFile, standin.InstanceSettings(inst.InstanceConfig), 0o600); err != nil {
 		return errors.Wrap(err, "settings")
 	}
-	return e.processes.Start(testbed.Program{Name: inst.ID, Executable: "drgate", Args: []string{"--settings", e.settingsPath(), "--node", inst.settingsFile}})
+	return e.processes.Start(testbed.Program{CPUShare: e.layout.cpuShare(slices.Index(e.instances, inst)), Name: inst.ID, Executable: "drgate", Args: []string{"--settings", e.settingsPath(), "--node", inst.settingsFile}})
 }
 
 func (e *environment) settingsPath() string { return filepath.Join(e.dir, "gate.json") }
@@ -250,7 +257,7 @@
 // writeSettings writes the settings file that all entry instances share.
 func (e *environment) writeSettings() error {
 	s := ingress.DefaultSettings()
-	text := fmt.Sprintf(`{"log_level": %q, "lookup_ttl": %q}`, s.LogLevel, s.LookupTTL.Std())
+	text := fmt.Sprintf(`{"log_level": %q, "lookup_ttl": %q, "metrics_port": %d}`, s.LogLevel, s.LookupTTL.Std(), metricsPort)
 	if err := os.WriteFile(e.settingsPath(), []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "settings")
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -162,12 +162,15 @@
 // freezeInstance suspends a process, which may be starting or stopping at the
 // same time.
 func (e *environment) freezeInstance(ctx context.Context, f plannedFault) {
-	inst := e.instanceFor(f)
+	e.freeze(ctx, e.instanceFor(f), f.duration)
+}
+
+func (e *environment) freeze(ctx context.Context, inst *entryInstance, d time.Duration) {
 	e.checker.RecordFault(time.Now(), "gate", inst.ID, true)
 	defer func() { e.checker.RecordFault(time.Now(), "gate", inst.ID, false) }()
-	_ = e.processes.Signal(inst.ID, syscall.SIGSTOP) // it may be down
-	_ = wait.Sleep(ctx, f.duration)                  // stops early if the run is canceled
-	_ = e.processes.Signal(inst.ID, syscall.SIGCONT)
+	_ = e.processes.Pause(inst.ID) // it may be down
+	_ = wait.Sleep(ctx, d)         // stops early if the run is canceled
+	_ = e.processes.Resume(inst.ID)
 }
 
 // reloadInstance changes the platform's settings file, with or without a signal.
--- a/internal/soak/kept.go
+++ b/internal/soak/kept.go
@@ -78,7 +78,7 @@
 			}
 			return
 		}
-		if !c.send(ctx, conn, inst, inParts) {
+		if _, ok := c.send(ctx, conn, inst, inParts); !ok {
 			c.addrs = nil
 			return
 		}
@@ -90,8 +90,8 @@
 	}
 }
 
-// send sends a request and reports whether a response arrived.
-func (c keptClient) send(ctx context.Context, conn *standin.Conn, inst *entryInstance, inParts bool) bool {
+// send sends a request and returns the response, or false if none arrived.
+func (c keptClient) send(ctx context.Context, conn *standin.Conn, inst *entryInstance, inParts bool) (standin.Response, bool) {
 	s := c.newRequest("k", inst)
 	c.lengthen(s)
 	if c.random.IntN(2) == 0 {
@@ -107,10 +107,10 @@
 	response, err := conn.Send(ctx, s.Request, offsets, c.upTo(maxPartPause), func() { s.sentAt = time.Now() })
 	if err != nil {
 		c.env.checker.ResponseLost(time.Now(), s, err)
-		return false
+		return standin.Response{}, false
 	}
 	c.env.checker.ResponseReceived(time.Now(), s, response)
-	return true
+	return response, true
 }
 
 // slowFaultKinds lists the faults that let planned stops meet requests which last up
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -30,6 +30,9 @@
 	toleratedCases = 3
 	// timeoutSlack is how much longer than its time limit a request may take.
 	timeoutSlack = 500 * time.Millisecond
+	// lossSlack is how long after its last byte a request may still be dropped unread
+	// around a planned stop.
+	lossSlack = 200 * time.Millisecond
 	// limitMargin is the time before the limit of a request from which on a response
 	// without its server's is due to the limit.
 	limitMargin = 50 * time.Millisecond
@@ -140,12 +143,16 @@
 	currentService string // the service of switchedRoute
 	// firstUse is when each entry instance first used the current document.
 	firstUse map[string]time.Time
+	// latestOutdated is the longest time after the last change at which a request was
+	// sent that the previous service ran, by an entry instance without faults.
+	latestOutdated time.Duration
 
 	arrivals      map[string][]arrival
 	coldRequests  map[string][]time.Time
 	notices       noticeLedger
 	lostResponses int
 	deadListed    int
+	longestHeld   time.Duration
 }
 
 type arrival struct {
@@ -281,6 +288,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.routeChangedAt[service], c.currentService = now, service
+	c.latestOutdated = 0
 	clear(c.firstUse)
 }
 
@@ -354,6 +362,9 @@
 		return
 	}
 	changedAt := c.routeChangedAt[c.currentService]
+	if c.stable(r.At, s.instance) {
+		c.latestOutdated = max(c.latestOutdated, s.at.Sub(changedAt))
+	}
 	if s.at.Sub(c.boundsApplyFrom(changedAt)) > c.bounds.ConfigApply && c.stable(r.At, s.instance) {
 		c.addViolation(r.At, CurrentRoute, "%s by %s ran at %s %v after the change", s.ID, s.instance, r.Service, r.At.Sub(changedAt))
 	}
@@ -362,6 +373,22 @@
 	}
 }
 
+// LatestOutdated returns how long after the last change of the document a request was
+// sent that still ran at the previous service.
+func (c *Checker) LatestOutdated() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.latestOutdated
+}
+
+// LongestHeld returns the longest time after its last byte for which a request of which
+// no server heard was held before a planned stop closed its connection.
+func (c *Checker) LongestHeld() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.longestHeld
+}
+
 // ResponseReceived records and checks a final response.
 func (c *Checker) ResponseReceived(now time.Time, s *clientRequest, r standin.Response) {
 	c.mu.Lock()
@@ -416,7 +443,25 @@
 	c.checkTime(now, s)
 	if s.executions > 0 {
 		c.checkLost(now, s, cause.Error())
+		return
+	}
+	c.checkHeld(now, s, cause)
+}
+
+// checkHeld checks a request whose connection ended without a response and that no
+// server got: around a planned stop it must not have been held for long.
+func (c *Checker) checkHeld(now time.Time, s *clientRequest, cause error) {
+	from := s.at.Add(-stableWindow)
+	if s.sentAt.IsZero() || now.Sub(s.at) >= s.limit() ||
+		!historyOf(c.instanceFaults, s.instance).noneSince(from) || historyOf(c.plannedStops, s.instance).noneSince(from) {
+		return
+	}
+	held := now.Sub(s.sentAt)
+	c.longestHeld = max(c.longestHeld, held)
+	if held <= lossSlack {
+		return
 	}
+	c.addViolation(now, NoLostResponse, "%s by %s, planned stop, held for %v: %v", s.ID, s.instance, held, cause)
 }
 
 // checkLost checks a request that ran and whose connection ended without a response.
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -175,6 +175,18 @@
 			c.SetDown(at(15.7), "g", true)
 			c.ResponseLost(at(15.8), s, errors.New("EOF"))
 		}},
+		{"held and dropped at a planned stop", NoLostResponse, func(c *Checker) {
+			c.RecordFault(at(9), "stop", "g", true)
+			s, _ := request(c, "1", nonIdempotent, 10)
+			s.sentAt = at(10.01)
+			c.ResponseLost(at(10.3), s, errors.New("reset"))
+		}},
+		{"crosses the close of its connection at a planned stop", "", func(c *Checker) {
+			c.RecordFault(at(9), "stop", "g", true)
+			s, _ := request(c, "1", nonIdempotent, 10)
+			s.sentAt = at(10.01)
+			c.ResponseLost(at(10.1), s, errors.New("reset"))
+		}},
 		{"runs after the loss at a planned stop", NoLostResponse, func(c *Checker) {
 			c.RecordFault(at(10), "stop", "g", true)
 			s, r := request(c, "1", nonIdempotent, 15)
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -74,7 +74,7 @@
 	}
 	for _, inst := range order {
 		callCtx, cancel := context.WithTimeout(ctx, time.Second)
-		addrs, err := standin.Lookup(callCtx, c.env.httpClient, inst.DirectoryAddr, domains[c.domain], c.domain)
+		addrs, err := standin.Lookup(callCtx, c.env.httpClient, inst.DirectoryAddr, c.env.domains[c.domain], c.domain)
 		cancel()
 		if err != nil || len(addrs) == 0 {
 			continue
@@ -161,7 +161,7 @@
 func (c *client) pickRoute(routes []fleet.Route) *fleet.Route {
 	for {
 		r := &routes[c.random.IntN(len(routes))]
-		if len(r.AllowedRegions) == 0 || r.AllowedRegions[0] == domains[c.domain] {
+		if len(r.AllowedRegions) == 0 || r.AllowedRegions[0] == c.env.domains[c.domain] {
 			return r
 		}
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -37,6 +37,7 @@
 	Seed          uint64
 	FaultDuration time.Duration // how long new faults are injected
 	Clients       int
+	Layout        Layout
 	FaultLog      io.Writer // if set, receives a line for each fault
 }
 
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -24,14 +24,21 @@
 	cmd  *exec.Cmd
 	done chan struct{}
 	err  error
+
+	mu     sync.Mutex
+	paused bool
 }
 
+func (p *process) signal(sig syscall.Signal) error { return p.cmd.Process.Signal(sig) }
+
 // Program describes a process to start.
 type Program struct {
 	Name       string
 	Executable string // file name in the directory of built programs
 	Args       []string
 	Env        []string // added to the environment
+	// CPUShare is the share of a core that the process may use; 0 means no limit.
+	CPUShare float64
 }
 
 // NewProcesses returns an empty set of processes. Programs are run from the
@@ -61,6 +68,9 @@
 		_ = logFile.Close()
 		close(proc.done)
 	}()
+	if prog.CPUShare > 0 && prog.CPUShare < 1 {
+		go proc.limitShare(prog.CPUShare)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.procs[prog.Name] = proc
@@ -79,14 +89,7 @@
 
 // Signal sends a signal to a process.
 func (p *Processes) Signal(name string, sig syscall.Signal) error {
-	proc, err := p.process(name)
-	if err != nil {
-		return err
-	}
-	if err := proc.cmd.Process.Signal(sig); err != nil {
-		return errors.Wrapf(err, "signal %s", name)
-	}
-	return nil
+	return p.with(name, func(proc *process) error { return proc.signal(sig) })
 }
 
 // Kill sends SIGKILL to a process and waits until it has exited.
