httpserver: serve requests that arrive as their idle connection is closed

What callers saw: a request sent on an idle connection of a stopping instance was dropped unread, up to 109 ms after its last byte; the connection was reset. The same holds for the idle timeout.

Cause: a connection between two requests is made to end by moving its read deadline. The goroutine that reads then fails and closes. With hundreds of connections and a share of 0.1 to 0.16 of a core, that takes tens of milliseconds, in which the kernel takes further requests.

Change: a read whose deadline has passed between two requests looks for bytes once more before it fails. While a request is served the deadline holds as before.

TestRequestAfterReadDeadline failed before in its two rows of idle connections.

Why it works: what is left between the last look and the close is one goroutine's way to the close, not the wait for its turn.

--- a/pkg/httpserver/conn.go
+++ b/pkg/httpserver/conn.go
@@ -90,6 +90,9 @@
 // Read undoes expire if it returns bytes.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.reviveForInput() {
+		n, err = c.Conn.Read(p)
+	}
 	if n == 0 {
 		return n, err
 	}
@@ -199,6 +202,24 @@
 	}
 }
 
+// reviveForInput makes reading possible again on a connection between two requests whose
+// deadline has passed, if bytes have arrived since. It reports whether it did. Much time
+// may pass from the deadline until the reading goroutine runs, if there are many
+// connections and little processor time; a request that arrives meanwhile would be
+// dropped unread.
+func (c *conn) reviveForInput() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.expired && !c.idle || !c.hasInput() {
+		return false
+	}
+	if c.expired {
+		c.unexpire()
+		return true
+	}
+	return c.Conn.SetReadDeadline(time.Now().Add(requestPatience)) == nil // it fails if the connection is closed
+}
+
 // Close closes the connection and frees its slot.
 func (c *conn) Close() error {
 	defer c.release()
--- a/pkg/httpserver/idle_test.go
+++ b/pkg/httpserver/idle_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -86,3 +87,47 @@
 		require.NoError(t, roundTrip(c, 5*time.Second))
 	}
 }
+
+// Guards against a request that arrives after the read deadline of its idle connection
+// and is dropped unread, because the reading goroutine runs late. While a request is
+// served, the deadline ends reading in any case.
+func TestRequestAfterReadDeadline(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		end  func(c *conn)
+		read bool
+	}{
+		{"made to end between two requests", func(c *conn) { c.setIdle(true); require.True(t, c.expire(time.Now(), 0)) }, true},
+		{"idle for too long", func(c *conn) {
+			c.setIdle(true)
+			require.NoError(t, c.SetReadDeadline(time.Time{}))
+			time.Sleep(2 * c.idleTimeout())
+		}, true},
+		{"request being served", func(c *conn) { c.setIdle(false); require.NoError(t, c.SetReadDeadline(time.Now())) }, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			tcp, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			l := newConnListener(tcp, Config{IdleTimeout: func() time.Duration { return 20 * time.Millisecond }})
+			defer func() { _ = l.Close() }()
+			client, err := net.Dial("tcp", tcp.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = client.Close() }()
+			accepted, err := l.Accept()
+			require.NoError(t, err)
+			defer func() { _ = accepted.Close() }()
+			c := accepted.(*conn)
+			row.end(c)
+			_, err = io.WriteString(client, requestHead)
+			require.NoError(t, err)
+			require.Eventually(t, c.hasInput, time.Second, time.Millisecond)
+			n, err := c.Read(make([]byte, len(requestHead)))
+			if !row.read {
+				require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, len(requestHead), n)
+		})
+	}
+}
