--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -164,7 +165,7 @@
 		return e.claimReply(req, d)
 	}
 	return unknownOutcome(ReasonOwnerUnreachable,
-		"entry instance %s holds the claim and cannot be asked; the request may have run", owner.Entry)
+		"entry instance %s holds the claim and cannot be asked; the request may have run; stored claim: %s", owner.Entry, cmp.Or(d.Detail, d.Verdict.String()))
 }
 
 // serveAsOwner processes a request that a peer has forwarded because this
