upstream: bound the receive buffers of connections to backend servers

Seen: bytes that the kernel has received and drgate has not read, of 184 MB in all: 67, 42 and 37 MB (bound 30 MB) in three cases of TestUnreadBytesOfFaultyResponses, beside other tests. They count towards the memory, and the platform ends a process that exceeds it.

Cause: the kernel lets the receive buffer of each connection grow, to up to 32 MB here, while its bytes are read; with many connections to servers that send much, the process reads late and all buffers fill.

Change: a connection's receive buffer is 32 KB. While a body is read, it grows to a quarter of the bytes read: these are bounded in sum. It shrinks before the connection is reused; one with over 512 KB (bodies of over 2 MiB) is not reused, since the window once given can still be filled.

The bound is still one for each connection: 400 of them are in the test; thousands could hold more.

Responses of the known sites have up to 30 KB.

--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -36,10 +36,13 @@
 	connectTime time.Duration // time to open the connection, about one round trip
 	expires     time.Time     // from the server's Keep-Alive header
 	watcher     *sendWatcher
-	userTimeout time.Duration // the TCP_USER_TIMEOUT while the connection is not watched
-	sending     atomic.Bool   // a request is being written
-	watched     atomic.Bool   // the watcher replaces TCP_USER_TIMEOUT
-	silent      atomic.Bool   // ended by the watcher
+	// receiveBuffer is the size of the kernel's receive buffer.
+	receiveBuffer int
+	body          growingReader // of the current response
+	userTimeout   time.Duration // the TCP_USER_TIMEOUT while the connection is not watched
+	sending       atomic.Bool   // a request is being written
+	watched       atomic.Bool   // the watcher replaces TCP_USER_TIMEOUT
+	silent        atomic.Bool   // ended by the watcher
 	// probesBounded is set once the time between window probes is bounded; for the
 	// watcher only.
 	probesBounded bool
@@ -291,7 +294,8 @@
 	if resp.ContentLength > MaxResponseBytes && r.Method != http.MethodHead {
 		return nil, false, errors.Errorf("response is larger than %d bytes", MaxResponseBytes)
 	}
-	body, acquired, err := readAll(io.LimitReader(from, MaxResponseBytes+1), resp.ContentLength, r.Budget)
+	c.body = growingReader{Reader: from, conn: c}
+	body, acquired, err := readAll(io.LimitReader(&c.body, MaxResponseBytes+1), resp.ContentLength, r.Budget)
 	if err != nil {
 		return nil, false, errors.Wrap(err, "incomplete response")
 	}
@@ -301,10 +305,47 @@
 	}
 	c.applyKeepAlive(resp.Header.Get("Keep-Alive"))
 	c.unframed = !hasKnownEnd(r.Method, resp)
-	reusable := noneSkipped && !resp.Close && !c.unframed && c.r.Buffered() == 0
+	reusable := noneSkipped && !resp.Close && !c.unframed && c.r.Buffered() == 0 && c.shrinkReceiveBuffer()
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Acquired: acquired}, reusable, nil
 }
 
+// maxReusedReceiveBuffer is the largest receive buffer of a connection that is reused, that
+// of a body of 2 MiB: a server may still fill the window that it was given.
+const maxReusedReceiveBuffer = 512 << 10
+
+// shrinkReceiveBuffer restores the receive buffer of a connection before it is reused. It
+// reports false if that has been too large.
+func (c *conn) shrinkReceiveBuffer() bool {
+	if c.receiveBuffer > maxReusedReceiveBuffer {
+		return false
+	}
+	if c.receiveBuffer > receiveBuffer {
+		c.setReceiveBuffer(receiveBuffer)
+	}
+	return true
+}
+
+func (c *conn) setReceiveBuffer(size int) {
+	c.receiveBuffer = size
+	_ = c.tcp.SetReadBuffer(size) // fails if the connection is closed, as its next use does then
+}
+
+// growingReader reads a body and lets the receive buffer of its connection grow.
+type growingReader struct {
+	io.Reader
+	conn *conn
+	read int
+}
+
+func (g *growingReader) Read(p []byte) (int, error) {
+	n, err := g.Reader.Read(p)
+	g.read += n
+	if size := g.read / receiveBufferDivisor; g.conn.tcp != nil && size >= 2*g.conn.receiveBuffer {
+		g.conn.setReceiveBuffer(size)
+	}
+	return n, err
+}
+
 // readAll reads to the end and returns the bytes that it acquired from the budget.
 // After an error these are released.
 func readAll(from io.Reader, length int64, budget *bytebudget.Budget) ([]byte, int64, error) {
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -36,6 +36,14 @@
 	maxBodyOverhead = 64 << 10
 	// readBuffer holds the head and body of a typical response (1.5 to 5 KB).
 	readBuffer = 8 << 10
+	// receiveBuffer bounds what the kernel has received for a connection and is not read
+	// yet, which counts towards the memory of the process. By itself the kernel lets the
+	// buffers of many connections grow to megabytes each.
+	receiveBuffer = 32 << 10
+	// receiveBufferDivisor lets the buffer grow to a quarter of the bytes of a body that have
+	// been read, so that long bodies from other regions are not slowed down for long.
+	// Bodies in memory are bounded in sum, and so are these buffers.
+	receiveBufferDivisor = 4
 	// maxInlineBody is the body size up to which a single write to the socket
 	// does not block until the server reads.
 	maxInlineBody = 32 << 10
@@ -412,7 +420,11 @@
 	}
 	tcp, ok := nc.(*net.TCPConn)
 	if ok {
-		if err := setUserTimeout(tcp, p.cfg.TCPUserTimeout); err != nil {
+		err := setUserTimeout(tcp, p.cfg.TCPUserTimeout)
+		if err == nil {
+			err = tcp.SetReadBuffer(receiveBuffer)
+		}
+		if err != nil {
 			_ = nc.Close() // the first error is reported
 			return nil, err
 		}
@@ -420,7 +432,7 @@
 	limited := &io.LimitedReader{R: nc, N: maxHeadBytes}
 	return &conn{
 		nc: nc, tcp: tcp, r: bufio.NewReaderSize(limited, readBuffer), limited: limited,
-		expires: time.Now().Add(time.Hour), watcher: &p.watcher, userTimeout: p.cfg.TCPUserTimeout,
+		expires: time.Now().Add(time.Hour), watcher: &p.watcher, userTimeout: p.cfg.TCPUserTimeout, receiveBuffer: receiveBuffer,
 	}, nil
 }
 
