--- a/internal/soak/follower.go
+++ b/internal/soak/follower.go
@@ -28,7 +28,7 @@
 	Bound time.Duration
 }
 
-// RunFrozenFollower plays it. Like Run, it returns an error if the run cannot be
+// RunFrozenFollower executes such a run. Like Run, it returns an error if the run cannot be
 // executed.
 func RunFrozenFollower(ctx context.Context, o Options, p FrozenFollower) (Report, error) {
 	b := bounds()
--- a/internal/soak/removal.go
+++ b/internal/soak/removal.go
@@ -33,7 +33,7 @@
 // clientsAfterRemoval is the time for which clients go on after the last stop has ended.
 const clientsAfterRemoval = time.Second
 
-// RunRemoval plays a planned removal of entry instances. Like Run, it returns an error
+// RunRemoval executes such a run. Like Run, it returns an error
 // if the run cannot be executed.
 func RunRemoval(ctx context.Context, o Options, p Removal) (Report, error) {
 	if o.Layout.instances() <= remainingInstances {
--- a/internal/testbed/cpushare.go
+++ b/internal/testbed/cpushare.go
@@ -62,12 +62,12 @@
 }
 
 // Pause suspends a process until Resume.
-func (p *Processes) Pause(name string) error { return p.with(name, (*process).pause) }
+func (p *Processes) Pause(name string) error { return p.withProcess(name, (*process).pause) }
 
 // Resume ends a pause.
-func (p *Processes) Resume(name string) error { return p.with(name, (*process).resume) }
+func (p *Processes) Resume(name string) error { return p.withProcess(name, (*process).resume) }
 
-func (p *Processes) with(name string, do func(*process) error) error {
+func (p *Processes) withProcess(name string, do func(*process) error) error {
 	proc, err := p.process(name)
 	if err != nil {
 		return err
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -89,7 +89,7 @@
 
 // Signal sends a signal to a process.
 func (p *Processes) Signal(name string, sig syscall.Signal) error {
-	return p.with(name, func(proc *process) error { return proc.signal(sig) })
+	return p.withProcess(name, func(proc *process) error { return proc.signal(sig) })
 }
 
 // Kill sends SIGKILL to a process and waits until it has exited.
