httpserver: bound the memory of request heads, and connections of every listener

Cause: net/http bounds the bytes of a head, not its lines, and nothing bounded the sum over connections. The directory and the listener for operators had no bound of connections. Names of objects were kept whole by the thousand, and a short one kept its header line.

A Connection header that names thousands of others was compared with every header line; it is a set now.

--- a/Makefile
+++ b/Makefile
@@ -19,9 +19,13 @@
 # Tests that are known to fail, from the "test:" lines of KNOWN-RED.txt.
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd '|' -)
 
+# Tests of the memory of whole processes, which run apart from all others.
+APART := ./test/clients
+
 # Without the test cache: scenario tests run programs that it does not track.
 test: lint
-	$(GO) test -count=1 -timeout 9m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
+	$(GO) test -count=1 -timeout 9m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $$($(GO) list ./... | grep -v '/test/clients$$')
+	$(GO) test -count=1 -timeout 9m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(APART)
 
 lint:
 	@out=$$(gofmt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -19,6 +19,7 @@
 	linkstandin "github.com/dandelionrack/dandelionrack/internal/standin/link"
 	platformstandin "github.com/dandelionrack/dandelionrack/internal/standin/platform"
 	"github.com/dandelionrack/dandelionrack/pkg/config"
+	"github.com/dandelionrack/dandelionrack/pkg/entry"
 	"github.com/dandelionrack/dandelionrack/pkg/operator"
 )
 
@@ -43,6 +44,8 @@
 	LogLevel  string
 	// AdjustContract modifies the contract before it is applied.
 	AdjustContract func(*config.Contract)
+	// AdjustEntry modifies the settings of each entry instance before it is started.
+	AdjustEntry func(*entry.Settings)
 	// LinkBitsPerSecond replaces the capacity of all links between regions; 0 keeps it.
 	LinkBitsPerSecond int64
 	// TLS encrypts the connections from operators and between entry instances,
@@ -166,6 +169,9 @@
 func (t *Testbed) startEntry(in config.EntryInstance, noPredecessor bool, kind CertificateKind) error {
 	s := t.layout.entrySettings(in, noPredecessor, t.opts.LookupTTL)
 	s.LogLevel = t.opts.LogLevel
+	if t.opts.AdjustEntry != nil {
+		t.opts.AdjustEntry(&s)
+	}
 	if err := t.addTLS(&s, in, kind); err != nil {
 		return err
 	}
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -87,6 +87,15 @@
 	return proc, nil
 }
 
+// PID returns the process id of a process.
+func (p *Processes) PID(name string) (int, error) {
+	proc, err := p.process(name)
+	if err != nil {
+		return 0, err
+	}
+	return proc.cmd.Process.Pid, nil
+}
+
 // Signal sends a signal to a process.
 func (p *Processes) Signal(name string, sig syscall.Signal) error {
 	return p.withProcess(name, func(proc *process) error { return proc.signal(sig) })
--- a/pkg/entry/callers.go
+++ b/pkg/entry/callers.go
@@ -427,6 +427,15 @@
 	writeJSON(w, status, body)
 }
 
+// refuseHead answers a request whose head does not fit into the memory for heads. The
+// response is also sent before a request has been read, so it depends on nothing.
+func (e *Entry) refuseHead(w http.ResponseWriter, _ *http.Request) {
+	status, body := notRun(ReasonOverload, "heads of requests take up the memory for them").refusal("")
+	w.Header().Set(HeaderOutcome, body.Outcome)
+	w.Header().Set(HeaderEntry, e.settings.ID)
+	writeJSON(w, status, body)
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -57,6 +57,7 @@
 	backends         *backend.Pool
 	poller           *backend.Poller
 	buffers          *bytebudget.Budget
+	headMemory       *httpserver.HeadMemory
 	rankings         rankingCache
 	// serversChanged wakes runWarm after a configuration change.
 	serversChanged chan struct{}
@@ -128,6 +129,7 @@
 		config:            &config.Holder{},
 		backends:          backend.NewPool(backend.Config{}),
 		buffers:           bytebudget.New(settings.MaxBufferedBytes),
+		headMemory:        httpserver.NewHeadMemory(settings.MaxBufferedBytes / headMemoryShare),
 		members:           membership.New(membership.Config{Self: settings.ID}),
 		leavingPlatform:   map[string]bool{},
 		leavingHealth:     map[string]bool{},
@@ -185,6 +187,15 @@
 	return nil
 }
 
+const (
+	// headMemoryShare is the divisor of Settings.MaxBufferedBytes that gives the memory
+	// for heads of requests.
+	headMemoryShare = 4
+	// maxOperatorConnections bounds the open connections of operators, who send a few
+	// calls a second.
+	maxOperatorConnections = 64
+)
+
 func (e *Entry) buildListeners() error {
 	var err error
 	e.callers, err = httpserver.New(httpserver.Config{
@@ -193,6 +204,8 @@
 		Fallback:       e.handleCall,
 		MaxConnections: e.settings.MaxCallerConnections,
 		Closing:        e.leaving.Load,
+		HeadMemory:     e.headMemory,
+		Refuse:         e.refuseHead,
 	})
 	if err != nil {
 		return err
@@ -205,6 +218,9 @@
 		Name:   "operators",
 		Routes: e.operatorRoutes(),
 		TLS:    tlsConfig,
+
+		MaxConnections: maxOperatorConnections,
+		HeadMemory:     e.headMemory,
 	})
 	return err
 }
--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -55,14 +55,16 @@
 // publishState registers the metrics that are computed when they are read.
 func (e *Entry) publishState() {
 	for name, value := range map[string]func() any{
-		"claims":               func() any { return e.claims.Stats() },
-		"archive":              func() any { return e.archiver.Stats() },
-		"peer_sessions":        func() any { return e.peerServer.Stats() },
-		"buffered_bytes":       func() any { return e.buffers.Used() },
-		"servers":              func() any { return e.serverStatus() },
-		"queues":               func() any { return e.queueLengths() },
-		"link_bytes_available": func() any { return e.linkBytes() },
-		"client_blocks":        func() any { return e.blocks.status() },
+		"claims":                func() any { return e.claims.Stats() },
+		"archive":               func() any { return e.archiver.Stats() },
+		"peer_sessions":         func() any { return e.peerServer.Stats() },
+		"buffered_bytes":        func() any { return e.buffers.Used() },
+		"request_head_bytes":    func() any { return e.headMemory.Used() },
+		"request_heads_refused": func() any { return e.headMemory.Refused() },
+		"servers":               func() any { return e.serverStatus() },
+		"queues":                func() any { return e.queueLengths() },
+		"link_bytes_available":  func() any { return e.linkBytes() },
+		"client_blocks":         func() any { return e.blocks.status() },
 	} {
 		e.metrics.publish(name, value)
 	}
--- a/pkg/httpserver/conn.go
+++ b/pkg/httpserver/conn.go
@@ -20,6 +20,9 @@
 	net.Listener
 	stallTimeout time.Duration
 	idleTimeout  func() time.Duration
+	headMemory   *HeadMemory // nil: no bound
+	encrypted    bool
+	refusal      []byte // sent if a head does not fit into headMemory
 
 	slots  *semaphore.Weighted // nil: no bound
 	open   context.Context     // ends with Close
@@ -27,7 +30,10 @@
 }
 
 func newConnListener(l net.Listener, cfg Config) *connListener {
-	out := &connListener{Listener: l, stallTimeout: cfg.StallTimeout, idleTimeout: cfg.IdleTimeout}
+	out := &connListener{
+		Listener: l, stallTimeout: cfg.StallTimeout, idleTimeout: cfg.IdleTimeout,
+		headMemory: cfg.HeadMemory, encrypted: cfg.TLS != nil,
+	}
 	out.open, out.cancel = context.WithCancel(context.Background())
 	if cfg.MaxConnections > 0 {
 		out.slots = semaphore.NewWeighted(int64(cfg.MaxConnections))
@@ -44,7 +50,10 @@
 		l.release()
 		return nil, err
 	}
-	out := &conn{Conn: c, stallTimeout: l.stallTimeout, idleTimeout: l.idleTimeout, release: sync.OnceFunc(l.release), opened: time.Now()}
+	out := &conn{
+		Conn: c, stallTimeout: l.stallTimeout, idleTimeout: l.idleTimeout, release: sync.OnceFunc(l.release), opened: time.Now(),
+		refusal: l.refusal, head: headReader{memory: l.headMemory, encrypted: l.encrypted},
+	}
 	if s, ok := c.(syscall.Conn); ok {
 		out.raw, _ = s.SyscallConn() // fails only if the connection is closed
 	}
@@ -78,8 +87,12 @@
 	idleTimeout  func() time.Duration
 	release      func() // frees the slot of the listener
 	opened       time.Time
+	refusal      []byte // sent if a head does not fit into the memory
 
 	mu           sync.Mutex
+	head         headReader
+	serving      bool      // a head has been read, and its request is being served
+	closed       bool      // Close has been called
 	idle         bool      // between two requests
 	used         bool      // a request has been served
 	receivedAt   time.Time // first byte since the opening or the last write; zero: none
@@ -97,14 +110,25 @@
 		return n, err
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.receivedAt.IsZero() {
 		c.receivedAt = time.Now()
 	}
 	c.unexpire()
+	fits := c.serving || c.closed || c.head.read(p[:n])
+	c.mu.Unlock()
+	if !fits {
+		return 0, c.refuseHead()
+	}
 	return n, err
 }
 
+// headHeld returns the bytes that are counted for the head of the current request.
+func (c *conn) headHeld() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.held
+}
+
 // Write fails once the client has read nothing for the stall timeout. That a chunk was
 // not written does not show it: the kernel takes new bytes only when a third of the
 // send buffer, which may hold megabytes, is free.
@@ -187,9 +211,10 @@
 func (c *conn) setIdle(idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = idle
+	c.idle, c.serving = idle, !idle
 	if idle {
 		c.used = true
+		c.head.reset()
 	} else {
 		c.unexpire()
 	}
@@ -223,6 +248,10 @@
 // Close closes the connection and frees its slot.
 func (c *conn) Close() error {
 	defer c.release()
+	c.mu.Lock()
+	c.closed = true
+	c.head.reset()
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
--- a/pkg/httpserver/httpserver.go
+++ b/pkg/httpserver/httpserver.go
@@ -64,12 +64,19 @@
 	// StallTimeout bounds the time in which a client reads nothing of its
 	// response; 0 means 30 s.
 	StallTimeout time.Duration
+	// HeadMemory bounds the memory of request heads; nil means no bound.
+	HeadMemory *HeadMemory
+	// Refuse answers requests whose heads do not fit into HeadMemory. It must not
+	// read the request, and its response must promise that the request does not run.
+	// nil answers 503.
+	Refuse http.HandlerFunc
 }
 
 // Server serves one listener.
 type Server struct {
-	http *http.Server
-	cfg  Config
+	http    *http.Server
+	cfg     Config
+	refusal []byte // the response of Config.Refuse
 
 	mu       sync.Mutex
 	listener net.Listener // that Serve uses
@@ -137,9 +144,16 @@
 	if cfg.IdleTimeout == nil {
 		cfg.IdleTimeout = func() time.Duration { return defaultIdleTimeout }
 	}
-	s := &Server{cfg: cfg, conns: map[net.Conn]connState{}}
+	if cfg.Refuse == nil {
+		cfg.Refuse = refuse
+	}
+	refusal, err := encodeRefusal(cfg.Refuse)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{cfg: cfg, refusal: refusal, conns: map[net.Conn]connState{}}
 	s.http = &http.Server{
-		Handler:           s.closeWhenStopping(handler.Serve),
+		Handler:           s.closeWhenStopping(s.boundHeads(handler.Serve)),
 		ConnState:         s.track,
 		ConnContext:       withConn,
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -247,6 +261,20 @@
 	})
 }
 
+// boundHeads refuses requests whose heads do not fit into the memory for heads.
+func (s *Server) boundHeads(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		release, ok := s.admitHead(r)
+		if !ok {
+			w.Header().Set("Connection", "close")
+			s.cfg.Refuse(w, r)
+			return
+		}
+		defer release()
+		next(w, r)
+	}
+}
+
 func (s *Server) stopping() bool {
 	return s.shuttingDown.Load() || s.cfg.Closing != nil && s.cfg.Closing()
 }
@@ -297,12 +325,13 @@
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
-	l = newConnListener(l, s.cfg)
+	bounded := newConnListener(l, s.cfg)
+	bounded.refusal = s.refusal
 	var err error
 	if s.cfg.TLS != nil {
-		err = s.http.ServeTLS(l, "", "")
+		err = s.http.ServeTLS(bounded, "", "")
 	} else {
-		err = s.http.Serve(l)
+		err = s.http.Serve(bounded)
 	}
 	if err == nil || errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -61,6 +61,7 @@
 	peers      *peer.Pool
 	peerServer *peer.Server
 	bodyBudget *bytebudget.Budget
+	headMemory *httpserver.HeadMemory
 
 	mu       sync.Mutex // guards the fields below
 	tables   map[replica.TableName]*replica.Table
@@ -114,6 +115,7 @@
 		selector:   newSelector(o.Instance),
 		backends:   upstream.New(upstream.Config{}),
 		bodyBudget: bytebudget.New(o.Settings.MaxBufferedBytes),
+		headMemory: httpserver.NewHeadMemory(o.Settings.MaxBufferedBytes / headMemoryShare),
 		tables: map[replica.TableName]*replica.Table{
 			replica.Operator: replica.New(), replica.Servers: replica.New(),
 		},
@@ -214,16 +216,26 @@
 	// clientFileShare is the divisor for the descriptors that clients may use; the
 	// others are for backend servers, peers and the store.
 	clientFileShare = 2
+	// directoryFileShare is the divisor for those that clients of the directory may use.
+	// A lookup takes milliseconds, and its connection is not used again soon.
+	directoryFileShare = 8
+	// The platform makes one readiness check a second, and one process reads metrics.
+	maxReadyConnections   = 64
+	maxMetricsConnections = 16
+	// headMemoryShare is the divisor of Settings.MaxBufferedBytes that gives the memory
+	// for heads of requests.
+	headMemoryShare = 4
 	// defaultIdleTimeout applies while no document is known.
 	defaultIdleTimeout = 15 * time.Second
 )
 
-// maxClientConnections returns the bound of open connections of clients; 0 for none.
-func maxClientConnections(maxOpenFiles int) int {
+// maxConnections returns the bound of open connections of a listener that may use a
+// share of the descriptors, given by its divisor; 0 for none.
+func maxConnections(maxOpenFiles, share int) int {
 	if maxOpenFiles <= 0 {
 		return 0
 	}
-	return max(1, (maxOpenFiles-reservedFiles)/clientFileShare)
+	return max(1, (maxOpenFiles-reservedFiles)/share)
 }
 
 // clientIdleTimeout returns how long a client's connection may be idle.
@@ -238,21 +250,25 @@
 	n := g.instance.Load()
 	out := &localServers{}
 	for _, l := range []struct {
-		name, addr string
-		routes     []rest.Route
-		fallback   http.HandlerFunc
+		name, addr     string
+		routes         []rest.Route
+		fallback       http.HandlerFunc
+		maxConnections int
 	}{
-		{clientListener, n.ClientAddr, nil, g.handleRequest},
-		{"ready", n.ReadyAddr, []rest.Route{{Method: http.MethodGet, Path: g.protocol.ReadyPath(), Handler: g.handleReady}}, nil},
-		{"directory", n.DirectoryAddr, []rest.Route{{Method: http.MethodGet, Path: g.protocol.LookupPath(), Handler: g.handleLookup}}, nil},
-		{metricsListener, n.MetricsAddr, nil, g.metrics.handle},
+		{clientListener, n.ClientAddr, nil, g.handleRequest, maxConnections(n.MaxOpenFiles, clientFileShare)},
+		{"ready", n.ReadyAddr, []rest.Route{{Method: http.MethodGet, Path: g.protocol.ReadyPath(), Handler: g.handleReady}}, nil, maxReadyConnections},
+		{"directory", n.DirectoryAddr, []rest.Route{{Method: http.MethodGet, Path: g.protocol.LookupPath(), Handler: g.handleLookup}}, nil, maxConnections(n.MaxOpenFiles, directoryFileShare)},
+		{metricsListener, n.MetricsAddr, nil, g.metrics.handle, maxMetricsConnections},
 	} {
 		if l.addr == "" {
 			continue
 		}
-		cfg := httpserver.Config{Name: l.name, Routes: l.routes, Fallback: l.fallback, Closing: g.leaving.Load}
+		cfg := httpserver.Config{
+			Name: l.name, Routes: l.routes, Fallback: l.fallback, Closing: g.leaving.Load,
+			MaxConnections: l.maxConnections, HeadMemory: g.headMemory, Refuse: g.refuseHead,
+		}
 		if l.name == clientListener {
-			cfg.IdleTimeout, cfg.MaxConnections = g.clientIdleTimeout, maxClientConnections(n.MaxOpenFiles)
+			cfg.IdleTimeout = g.clientIdleTimeout
 		}
 		srv, err := httpserver.New(cfg)
 		if err != nil {
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -67,6 +67,8 @@
 		return 0
 	})
 	gauge("buffered_bytes", func() any { return g.bodyBudget.Used() })
+	gauge("request_head_bytes", func() any { return g.headMemory.Used() })
+	gauge("request_heads_refused", func() any { return g.headMemory.Refused() })
 	gauge("peers_alive", func() any {
 		now := time.Now()
 		g.mu.Lock()
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -5,8 +5,10 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
@@ -98,6 +100,7 @@
 func (g *Ingress) handleRequest(w http.ResponseWriter, hr *http.Request) {
 	g.metrics.requests.Add(1)
 	r := &request{g: g, http: hr, head: g.protocol.ReadRequest(hr.Header), arrived: time.Now(), doc: g.document.Load()}
+	r.head.Object = objectKey(r.head.Object)
 	g.inFlight.add(r)
 	defer func() {
 		g.inFlight.remove(r)
@@ -175,6 +178,19 @@
 	return reasonTimeout
 }
 
+// maxObjectName is the longest name of an object that is kept as it is.
+const maxObjectName = 64
+
+// objectKey returns the text under which an object is known here: its name, or a hash of
+// a long one, since thousands of them are kept. The text shares no memory with name,
+// which is a part of a header line.
+func objectKey(name string) string {
+	if len(name) <= maxObjectName {
+		return strings.Clone(name)
+	}
+	return strconv.FormatUint(xxhash.Sum64String(name), 16)
+}
+
 // object returns the object of a sticky route, else "".
 func (r *request) object() string {
 	if !r.route.Sticky {
@@ -253,6 +269,12 @@
 	_, _ = io.WriteString(w, body) // fails only if the client has disconnected
 }
 
+// refuseHead answers a request whose head does not fit into the memory for heads.
+func (g *Ingress) refuseHead(w http.ResponseWriter, _ *http.Request) {
+	g.protocol.WriteRetryAfter(w.Header(), startRetryAfter)
+	http.Error(w, outcomeNotRun+": "+reasonMemory, http.StatusServiceUnavailable)
+}
+
 // boundRetryAfter limits Retry-After to a part of the time until the deadline.
 func (r *request) boundRetryAfter(after time.Duration) time.Duration {
 	after = max(after, minRetryAfter)
--- a/pkg/ingress/sync.go
+++ b/pkg/ingress/sync.go
@@ -225,6 +225,7 @@
 
 // runTimers refreshes time-dependent state and closes idle connections.
 func (g *Ingress) runTimers(ctx context.Context) {
+	headsRefused := int64(0)
 	for ctx.Err() == nil {
 		_ = wait.Sleep(ctx, timerInterval) // the loop condition handles the end of ctx
 		now := time.Now()
@@ -234,6 +235,11 @@
 		if due || g.viewOutdated.Swap(false) {
 			g.refresh(now)
 		}
+		if n := g.headMemory.Refused(); n != headsRefused {
+			g.log.writeLimited("heads", hclog.Warn, "requests refused: heads take up the memory for them",
+				"refused", n-headsRefused, "counted_bytes", g.headMemory.Used())
+			headsRefused = n
+		}
 		g.backends.Sweep(now)
 		g.noticesMu.Lock()
 		g.notices.Prune(now)
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -170,14 +170,14 @@
 // Connection names.
 func EndToEndHeaders(h http.Header) http.Header {
 	out := make(http.Header, len(h))
-	var named []string
+	named := map[string]bool{} // a client may name thousands
 	for _, line := range h["Connection"] {
 		for token := range strings.SplitSeq(line, ",") {
-			named = append(named, http.CanonicalHeaderKey(strings.TrimSpace(token)))
+			named[http.CanonicalHeaderKey(strings.TrimSpace(token))] = true
 		}
 	}
 	for name, values := range h {
-		if !slices.Contains(hopByHopHeaders, name) && !slices.Contains(named, name) {
+		if !slices.Contains(hopByHopHeaders, name) && !named[name] {
 			out[name] = values
 		}
 	}
