--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -33,6 +33,8 @@
 	// Sticky says that a server that has recently handled an object is faster
 	// for it.
 	Sticky bool
+	// Public says that requests need no key, even if the document has organisations.
+	Public bool
 }
 
 // WeightedService is a service of a route; its share of the requests is
@@ -60,14 +62,15 @@
 }
 
 // Document is one version of the routing configuration. It is immutable after
-// NewDocument.
+// NewDocument and SetOrganisations.
 type Document struct {
 	Version  uint64
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
 
-	byHost map[string][]*Route // longest prefix first
+	byHost        map[string][]*Route // longest prefix first
+	organisations *organisations      // nil if requests carry no keys
 }
 
 // NewDocument returns a document with its routes indexed by host.
--- a/pkg/fleet/head.go
+++ b/pkg/fleet/head.go
@@ -10,6 +10,8 @@
 	// Object identifies what the request is about, if anything. Requests for
 	// the same object are faster at a server that has handled it before.
 	Object string
+	// Key is what the client authenticates with; empty if there is none.
+	Key string
 }
 
 // ResponseHead holds the fields that are read from the status and headers of a
@@ -38,6 +40,9 @@
 	// LoadReported is set.
 	Load         int
 	LoadReported bool
+	// Slowdown is how long work takes at the server at this moment, as a multiple of
+	// the usual time; 0 if it does not say.
+	Slowdown float64
 }
 
 // LimitState says whether a response names a limit.
--- a/pkg/ingress/protocol.go
+++ b/pkg/ingress/protocol.go
@@ -20,6 +20,9 @@
 	EncodeLookupResponse(addrs []string, ttl time.Duration) ([]byte, error)
 
 	ReadRequest(http.Header) fleet.RequestHead
+	// WriteIdentity replaces the client's key, and what it says of its organisation, by
+	// the name of the organisation; empty for none.
+	WriteIdentity(h http.Header, organisation string)
 	// WriteForward sets the headers that carry the remaining time and the
 	// server that must handle the request.
 	WriteForward(h http.Header, server string, timeLeft time.Duration)
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -45,6 +45,8 @@
 const (
 	reasonNotReady     = "not_ready"
 	reasonNoRoute      = "no_route"
+	reasonUnknownKey   = "unknown_key"
+	reasonNoRegion     = "no_allowed_region"
 	reasonTooLarge     = "too_large"
 	reasonMemory       = "memory"
 	reasonClientBody   = "client_body"
@@ -68,6 +70,10 @@
 	doc     *fleet.Document
 	route   *fleet.Route
 	service string
+	// organisation is that of the client's key; nil if the route or the document needs
+	// none.
+	organisation *fleet.Organisation
+	regions      []string // in which the request may run; empty means all
 
 	http     *http.Request
 	target   string
@@ -123,17 +129,46 @@
 	if r.route == nil {
 		return reply{status: http.StatusNotFound, outcome: outcomeClientError, reason: reasonNoRoute}
 	}
+	if bad := r.identify(); bad != nil {
+		return *bad
+	}
 	r.setDeadline()
 	if bad := r.readBody(w); bad != nil {
 		return *bad
 	}
 	r.service = r.g.selector.chooseService(r.arrived, r.route, r.object())
 	r.header = upstream.EndToEndHeaders(r.http.Header)
+	if r.doc.HasOrganisations() {
+		r.g.protocol.WriteIdentity(r.header, r.organisationName())
+	}
 	ctx, cancel := r.context()
 	defer cancel()
 	return r.forward(ctx)
 }
 
+// identify finds the organisation of the client and the regions in which the request may
+// run.
+func (r *request) identify() *reply {
+	r.organisation = r.doc.OrganisationOf(r.head.Key)
+	if r.organisation == nil && r.doc.HasOrganisations() && !r.route.Public {
+		return &reply{status: http.StatusUnauthorized, outcome: outcomeClientError, reason: reasonUnknownKey}
+	}
+	regions, none := r.route.RegionsFor(r.organisation)
+	if none {
+		return &reply{status: http.StatusServiceUnavailable, outcome: outcomeNotRun, reason: reasonNoRegion, retryAfter: startRetryAfter}
+	}
+	r.regions = regions
+	return nil
+}
+
+// organisationName returns the name of the client's organisation, or "".
+func (r *request) organisationName() string {
+	if r.organisation == nil {
+		return ""
+	}
+	return r.organisation.Name
+}
+
 // setDeadline applies the shorter of the client's and the route's timeout.
 func (r *request) setDeadline() {
 	limit := r.head.TimeLeft
@@ -315,6 +350,9 @@
 		args = append(args, "route", r.route.Name, "service", r.service, "document", r.doc.Version, "object", r.head.Object,
 			"left_ms", time.Until(r.deadline).Milliseconds())
 	}
+	if r.organisation != nil {
+		args = append(args, "organisation", r.organisation.Name)
+	}
 	if r.sendCount > 0 {
 		args = append(args, "server", r.last.Server.ID, "region", r.last.Server.Region, "in_flight", r.last.Load,
 			"warm", r.last.Warm, "expected_ms", r.last.ExpectedLatency.Milliseconds(), "late", r.last.Late)
--- a/pkg/ingress/steer.go
+++ b/pkg/ingress/steer.go
@@ -62,7 +62,7 @@
 	objective := r.route.TargetLatency - clientRoundTrip
 	return placement.Request{
 		Service: r.service, Class: r.route.Name, Object: r.object(),
-		AllowedRegions: r.route.AllowedRegions, Exclude: exclude,
+		AllowedRegions: r.regions, Exclude: exclude,
 		UntilObjective: time.Until(r.arrived.Add(objective)), UntilDeadline: time.Until(r.serverDeadline()),
 		InitialServiceTime: r.route.TargetLatency,
 	}
