--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -57,6 +57,7 @@
 	metrics  *metrics
 
 	selector   *selector
+	quotas     *quotas
 	backends   *upstream.Pool
 	peers      *peer.Pool
 	peerServer *peer.Server
@@ -131,6 +132,7 @@
 	}
 	g.abandoned, g.abandon = context.WithCancel(context.Background())
 	g.roster = roster.New(g.self)
+	g.quotas = newQuotas(g.self)
 	g.backends.OnOpen = func() { g.metrics.connections.Add(1) }
 	g.setInstance(o.Instance)
 	base := peer.Config{
--- a/pkg/ingress/messages.go
+++ b/pkg/ingress/messages.go
@@ -32,7 +32,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := g.statusMessageLocked(now, l.member.ID)
+	out := g.statusMessageLocked(now, l.member)
 	push := g.following.Load() && (l.member.Region == g.self.Region || l.lacksRows(now))
 	for _, name := range replicatedTables {
 		t := g.tables[name]
@@ -53,11 +53,11 @@
 
 // syncResponse returns the table states of this instance and the rows that the
 // caller asked for.
-func (g *Ingress) syncResponse(callerID string, has map[replica.TableName]replica.State) *wire.ReplicaSync {
+func (g *Ingress) syncResponse(caller fleet.Member, has map[replica.TableName]replica.State) *wire.ReplicaSync {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := g.statusMessageLocked(now, callerID)
+	out := g.statusMessageLocked(now, caller)
 	for _, name := range replicatedTables {
 		t := g.tables[name]
 		out.Have = append(out.Have, encodeState(name, t.State()))
@@ -80,12 +80,13 @@
 
 // statusMessageLocked returns a message to a peer with this instance's status and the
 // backend servers that fail for it. The caller holds mu.
-func (g *Ingress) statusMessageLocked(now time.Time, peerID string) *wire.ReplicaSync {
+func (g *Ingress) statusMessageLocked(now time.Time, peer fleet.Member) *wire.ReplicaSync {
 	status := g.statusLocked(now)
 	out := &wire.ReplicaSync{Member: encodeMember(g.self), FailingServers: g.selector.ejected(now), RestartedServers: g.selector.unknownStarts(), Notices: g.noticesLocked(now)}
+	out.Quota = g.quotas.report(now, peer)
 	out.Member.State = wireStates[status.State]
 	out.Member.Following = status.Following
-	out.StandbyRank = uint32(g.roster.StandbyRank(now, peerID))
+	out.StandbyRank = uint32(g.roster.StandbyRank(now, peer.ID))
 	out.Member.StoreAgeMs = status.StoreResponseAge.Milliseconds()
 	if status.StoreResponseAge < 0 {
 		out.Member.StoreAgeMs = -1
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -69,6 +69,7 @@
 	gauge("buffered_bytes", func() any { return g.bodyBudget.Used() })
 	gauge("request_head_bytes", func() any { return g.headMemory.Used() })
 	gauge("request_heads_refused", func() any { return g.headMemory.Refused() })
+	gauge("quotas_limited", func() any { return g.quotas.status() })
 	gauge("peers_alive", func() any {
 		now := time.Now()
 		g.mu.Lock()
--- a/pkg/ingress/peers.go
+++ b/pkg/ingress/peers.go
@@ -207,6 +207,7 @@
 	g.roster.RecordMissedHeartbeat(time.Now(), l.member.ID)
 	if refused {
 		g.roster.RecordConnectionRefused(l.member.ID)
+		g.quotas.forget(l.member.ID)
 	}
 	g.mu.Unlock()
 	if !refused && callCtx.Err() != nil && ctx.Err() == nil {
@@ -237,7 +238,7 @@
 	if in == nil {
 		return &wire.Response{Error: "unknown call"}
 	}
-	out := g.syncResponse(in.GetMember().GetId(), g.handleSync(time.Now(), in))
+	out := g.syncResponse(decodeMember(in.GetMember()), g.handleSync(time.Now(), in))
 	if in.GetIntroduce() || in.GetRefresh() {
 		g.addKnownMembers(out, in.GetIntroduce())
 	}
@@ -316,6 +317,7 @@
 		g.viewOutdated.Store(true)
 	}
 	g.mergeNotices(now, from.ID, in.GetNotices())
+	g.quotas.record(now, from, in.GetQuota())
 	for _, rows := range in.GetRows() {
 		batch, err := decodeBatch(rows)
 		if err != nil {
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -47,6 +47,7 @@
 	reasonNoRoute      = "no_route"
 	reasonUnknownKey   = "unknown_key"
 	reasonNoRegion     = "no_allowed_region"
+	reasonQuota        = "quota"
 	reasonTooLarge     = "too_large"
 	reasonMemory       = "memory"
 	reasonClientBody   = "client_body"
@@ -133,6 +134,9 @@
 		return *bad
 	}
 	r.setDeadline()
+	if refused := r.checkQuota(); refused != nil {
+		return *refused
+	}
 	if bad := r.readBody(w); bad != nil {
 		return *bad
 	}
--- a/pkg/ingress/sync.go
+++ b/pkg/ingress/sync.go
@@ -87,7 +87,9 @@
 		}
 		servers = append(servers, in)
 	}
-	g.selector.update(servers, 1+len(g.roster.Peers(now)))
+	members := 1 + len(g.roster.Peers(now))
+	g.selector.update(servers, members)
+	g.quotas.update(now, v.Document, members)
 	if v.Document != nil {
 		g.document.Store(v.Document)
 	}
@@ -240,6 +242,7 @@
 				"refused", n-headsRefused, "counted_bytes", g.headMemory.Used())
 			headsRefused = n
 		}
+		g.logQuotas()
 		g.backends.Sweep(now)
 		g.noticesMu.Lock()
 		g.notices.Prune(now)
