placement: even load over servers that say how slow they are

Cause: among 115 instances one hears from a server once in ten seconds, so that its load is unknown when it is chosen, and the hash gives some servers several times the objects of others.

The instances of a region share mean loads in their heartbeats; each server has a share of objects that is moved to the next of their rankings.

--- a/pkg/ingress/messages.go
+++ b/pkg/ingress/messages.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/dandelionrack/dandelionrack/pkg/fleet"
+	"github.com/dandelionrack/dandelionrack/pkg/placement"
 	"github.com/dandelionrack/dandelionrack/pkg/replica"
 	"github.com/dandelionrack/dandelionrack/pkg/roster"
 	"github.com/dandelionrack/dandelionrack/pkg/wire"
@@ -84,6 +85,9 @@
 	status := g.statusLocked(now)
 	out := &wire.ReplicaSync{Member: encodeMember(g.self), FailingServers: g.selector.ejected(now), RestartedServers: g.selector.unknownStarts(), Notices: g.noticesLocked(now)}
 	out.Quota = g.quotas.report(now, peer)
+	if peer.Region == g.self.Region {
+		out.Loads = encodeLoads(g.selector.loads(now))
+	}
 	out.Member.State = wireStates[status.State]
 	out.Member.Following = status.Following
 	out.StandbyRank = uint32(g.roster.StandbyRank(now, peer.ID))
@@ -129,3 +133,29 @@
 		ClientAddr: m.GetClientAddr(), PeerAddr: m.GetPeerAddr(), LinkMbps: m.GetLinkMbps(),
 	}
 }
+
+// Units of loads in messages.
+const (
+	loadUnit     = 1.0 / 8
+	slowdownUnit = 1.0 / 100
+)
+
+func encodeLoads(loads []placement.LoadReport) []*wire.ServerLoad {
+	out := make([]*wire.ServerLoad, 0, len(loads))
+	for _, l := range loads {
+		out = append(out, &wire.ServerLoad{
+			Server: l.Server, LoadX8: uint32(l.Load/loadUnit + 0.5), SlowdownPercent: uint32(l.Slowdown/slowdownUnit + 0.5),
+		})
+	}
+	return out
+}
+
+func decodeLoads(in []*wire.ServerLoad) []placement.LoadReport {
+	out := make([]placement.LoadReport, 0, len(in))
+	for _, l := range in {
+		out = append(out, placement.LoadReport{
+			Server: l.GetServer(), Load: float64(l.GetLoadX8()) * loadUnit, Slowdown: float64(l.GetSlowdownPercent()) * slowdownUnit,
+		})
+	}
+	return out
+}
--- a/pkg/ingress/peers.go
+++ b/pkg/ingress/peers.go
@@ -318,6 +318,9 @@
 	}
 	g.mergeNotices(now, from.ID, in.GetNotices())
 	g.quotas.record(now, from, in.GetQuota())
+	if loads := in.GetLoads(); len(loads) > 0 && from.Region == g.self.Region {
+		g.selector.recordLoads(now, decodeLoads(loads))
+	}
 	for _, rows := range in.GetRows() {
 		batch, err := decodeBatch(rows)
 		if err != nil {
--- a/pkg/ingress/steer.go
+++ b/pkg/ingress/steer.go
@@ -160,7 +160,7 @@
 }
 
 func classifyResponse(response *upstream.Response, head fleet.ResponseHead, result *placement.Result) sendResult {
-	result.LoadReported, result.Load = head.LoadReported, head.Load
+	result.LoadReported, result.Load, result.Slowdown = head.LoadReported, head.Load, head.Slowdown
 	if head.Misdirected {
 		result.Outcome = placement.Misdirected
 		return sendResult{sent: true}
--- a/pkg/ingress/steering.go
+++ b/pkg/ingress/steering.go
@@ -122,6 +122,20 @@
 	return s.balancer.Ejected(now)
 }
 
+// loads returns the servers that peers of the region should know of.
+func (s *selector) loads(now time.Time) []placement.LoadReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.Loads(now)
+}
+
+// recordLoads applies what a peer of the region reports.
+func (s *selector) recordLoads(now time.Time, loads []placement.LoadReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.balancer.RecordLoads(now, loads)
+}
+
 func (s *selector) markSuspect(now time.Time, ids []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -116,6 +116,7 @@
 	// startConfirmedAt.
 	restartSuspectedAt, startConfirmedAt time.Time
 	bucket                               tokenBucket // used while RateLimit is set
+	even                                 evenState
 }
 
 // pendingRequest is a request that has been sent to a server.
@@ -149,6 +150,7 @@
 	// registrationInterval is the time in which a server that has started
 	// registers.
 	registrationInterval time.Duration
+	even                 map[string]bool // services with even load
 }
 
 // New returns a balancer of an entry instance in a region.
@@ -156,7 +158,7 @@
 	return &Balancer{
 		maxShift: defaultMaxShift, registrationInterval: defaultRegistrationInterval,
 		region: region, servers: map[string]*server{}, troubled: map[string]*server{}, byService: map[string][]*server{},
-		rankings: map[string]*rankings{}, remoteShares: map[string]*remoteShare{}, serviceTimes: map[string]*serviceTimes{}, roundTrips: map[string]time.Duration{}, hitRates: map[string]*hitRates{},
+		rankings: map[string]*rankings{}, remoteShares: map[string]*remoteShare{}, serviceTimes: map[string]*serviceTimes{}, roundTrips: map[string]time.Duration{}, hitRates: map[string]*hitRates{}, even: map[string]bool{},
 	}
 }
 
@@ -169,7 +171,7 @@
 		s := b.servers[in.ID]
 		if s == nil || s.Addr != in.Addr || s.Service != in.Service || s.Region != in.Region || !s.StartTime.Equal(in.StartTime) {
 			b.generation++
-			s = &server{generation: b.generation, local: in.Region == b.region, slowdown: 1, warmObjects: map[string]time.Time{}}
+			s = &server{generation: b.generation, local: in.Region == b.region, slowdown: 1, warmObjects: map[string]time.Time{}, even: evenState{key: serverKey(in.ID)}}
 			if !in.ColdUntil.IsZero() {
 				s.slowdown = coldSlowdown
 				s.slowdownAt = in.ColdUntil
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -68,7 +68,12 @@
 	// A limited server leaves most requests for its objects to the next one, at
 	// which they are then placed too.
 	preferred := placed
-	for s := range x.b.ranked(x.r.Service, x.r.Object, local) {
+	var moved *server // the first server of the ranking, if the object is moved from it
+	for s, weight := range x.b.ranked(x.r.Service, x.r.Object, local) {
+		if moved == nil && candidates == 0 && x.b.movesObject(x.now, s, x.r.Object, weight) {
+			moved = s
+			continue
+		}
 		isPreferred := preferred
 		preferred = preferred && s.RateLimit != nil
 		if len(x.r.AllowedRegions) > 0 && !slices.Contains(x.r.AllowedRegions, s.Region) {
@@ -82,20 +87,36 @@
 			}
 			continue
 		}
-		x.available++
-		e := x.b.estimate(x.now, s, x.r, x.times, isPreferred)
-		if x.earliest == 0 || e.latency < x.earliest {
-			x.earliest = e.latency
-		}
-		if e.latency <= x.r.UntilObjective {
-			x.onTime = &e
+		if x.consider(s, isPreferred) {
 			return
 		}
-		x.considerLate(e)
 		if candidates++; candidates >= maxCandidates {
-			return
+			break
 		}
 	}
+	if moved != nil && x.allows(moved) && x.b.available(x.now, moved) {
+		x.consider(moved, false)
+	}
+}
+
+// allows reports whether the request may be sent to a server.
+func (x *search) allows(s *server) bool {
+	return (len(x.r.AllowedRegions) == 0 || slices.Contains(x.r.AllowedRegions, s.Region)) && !slices.Contains(x.r.Exclude, s.ID)
+}
+
+// consider records an available server, and reports whether it meets the objective.
+func (x *search) consider(s *server, preferred bool) bool {
+	x.available++
+	e := x.b.estimate(x.now, s, x.r, x.times, preferred)
+	if x.earliest == 0 || e.latency < x.earliest {
+		x.earliest = e.latency
+	}
+	if e.latency <= x.r.UntilObjective {
+		x.onTime = &e
+		return true
+	}
+	x.considerLate(e)
+	return false
 }
 
 // considerLate records a server that cannot meet the objective but has a free
@@ -106,6 +127,7 @@
 	if !e.warm && !e.preferred {
 		perSlot = maxCopyLoadPerSlot
 	}
+	perSlot += x.b.spareLoadPerSlot(e.server)
 	if float64(e.load) >= perSlot*float64(e.server.Slots) || x.times.measured && e.latency > x.r.UntilDeadline {
 		return
 	}
@@ -165,7 +187,7 @@
 	hit := b.hitRate(r.Service, e.cache)
 	e.warm = hit > 0.5
 	serviceTime := w.cold - time.Duration(hit*float64(w.cold-w.warm))
-	slowdown := max(s.currentSlowdown(now), s.overdue(now))
+	slowdown := max(s.currentSlowdown(now), s.overdue(now), s.even.currentSlowdown(now))
 	mean := s.meanServiceTime
 	if mean == 0 {
 		mean = time.Duration(float64(w.warm) * slowdown)
--- a/pkg/placement/learn.go
+++ b/pkg/placement/learn.go
@@ -27,6 +27,7 @@
 		s.othersLoad = max(0, float64(r.Load-len(s.pending)))
 		s.othersLoadMean += loadReportWeight * (s.othersLoad - s.othersLoadMean)
 		s.loadReportedAt = now
+		b.observeLoad(now, s, r)
 	}
 	switch r.Outcome {
 	case Served:
--- a/pkg/placement/ranking.go
+++ b/pkg/placement/ranking.go
@@ -113,23 +113,23 @@
 }
 
 // ranked yields the servers of a service for an object in order: those of the local
-// region, or those of the other regions.
-func (b *Balancer) ranked(service, object string, local bool) iter.Seq[*server] {
-	return func(yield func(*server) bool) {
+// region, or those of the other regions, with their weights.
+func (b *Balancer) ranked(service, object string, local bool) iter.Seq2[*server, uint64] {
+	return func(yield func(*server, uint64) bool) {
 		top := b.rank(service, object).remote
 		if local {
 			top = b.rank(service, object).local
 		}
 		for _, w := range top.servers {
-			if !yield(w.server) {
+			if !yield(w.server, w.weight) {
 				return
 			}
 		}
 		if top.total == len(top.servers) {
 			return
 		}
-		for _, s := range b.rankAll(service, object, local)[len(top.servers):] {
-			if !yield(s) {
+		for _, w := range b.rankAll(service, object, local)[len(top.servers):] {
+			if !yield(w.server, w.weight) {
 				return
 			}
 		}
@@ -137,7 +137,7 @@
 }
 
 // rankAll returns all servers of a group in order.
-func (b *Balancer) rankAll(service, object string, local bool) []*server {
+func (b *Balancer) rankAll(service, object string, local bool) []weighedServer {
 	prefix := rendezvous.NewPrefix(service, object)
 	var all []weighedServer
 	for _, s := range b.byService[service] {
@@ -146,9 +146,5 @@
 		}
 	}
 	slices.SortFunc(all, func(x, y weighedServer) int { return cmp.Compare(y.weight, x.weight) })
-	out := make([]*server, 0, len(all))
-	for _, w := range all {
-		out = append(out, w.server)
-	}
-	return out
+	return all
 }
--- a/pkg/placement/remoteshare.go
+++ b/pkg/placement/remoteshare.go
@@ -52,6 +52,8 @@
 	localUtilization, remoteUtilization float64 // moving averages
 	updatedAt                           time.Time
 	spillTokens                         float64
+	// localMean and remoteMean are the mean utilizations that even load compares with.
+	localMean, remoteMean float64
 }
 
 // newRemoteShare starts with the share that suits equal demand in all regions.
@@ -105,8 +107,13 @@
 type utilization struct {
 	load  float64
 	slots int
+	// sum is that of the utilizations of single servers, with even load.
+	sum     float64
+	servers int
 }
 
+func (u utilization) mean() float64 { return u.sum / float64(max(1, u.servers)) }
+
 func (u utilization) ratio() float64 {
 	if u.slots == 0 {
 		return 0
@@ -125,6 +132,7 @@
 		return s
 	}
 	var local, remote utilization
+	even := b.even[service]
 	regions := map[string]bool{}
 	for _, srv := range b.byService[service] {
 		regions[srv.Region] = true
@@ -137,6 +145,10 @@
 		}
 		u.slots += srv.usableSlots()
 		u.load += float64(srv.load(now))
+		if even {
+			u.servers++
+			u.sum += srv.even.utilization(now, srv.usableSlots())
+		}
 	}
 	if s == nil {
 		s = newRemoteShare(now, local.slots, remote.slots, len(regions))
@@ -144,5 +156,6 @@
 		return s
 	}
 	s.update(now, local, remote, b.maxShift)
+	s.localMean, s.remoteMean = local.mean(), remote.mean()
 	return s
 }
--- a/pkg/placement/sim_test.go
+++ b/pkg/placement/sim_test.go
@@ -26,6 +26,8 @@
 
 	running int
 	queue   []*simRequest
+	busy    float64  // seconds that requests have spent here
+	said    float64  // slowdown that it says; 0: the actual one
 	cache   []string // least recently used first
 }
 
@@ -34,6 +36,7 @@
 	region    string
 	object    string
 	arrived   time.Time
+	reached   time.Time // its server
 	choice    Choice
 	objective time.Duration
 	deadline  time.Duration
@@ -81,6 +84,11 @@
 	rate    func(region string, t time.Duration) float64
 	length  time.Duration
 	prepare func(s *sim) // changes servers at given times
+	// tellSlowdown lets servers say how slow they are, and reportEvery is the interval
+	// at which the instances of a region tell each other of loads, which arrive
+	// reportDelay later.
+	tellSlowdown             bool
+	reportEvery, reportDelay time.Duration
 }
 
 type window struct{ requests, inObjective, late, refused, lost, shed int }
@@ -95,6 +103,7 @@
 	byID      map[string]*simServer
 	balancers map[string][]*Balancer
 	windows   []window
+	latencies []time.Duration             // of requests that were answered
 	servedIn  []map[string]map[string]int // by window, client region, serving region
 }
 
@@ -153,6 +162,11 @@
 	}
 	for _, region := range sortedKeys(s.cfg.serversByRegion) {
 		s.arrive(region)
+		if s.cfg.reportEvery > 0 {
+			for _, b := range s.balancers[region] {
+				s.after(time.Duration(s.random.Int64N(int64(s.cfg.reportEvery))), func() { s.report(region, b) })
+			}
+		}
 	}
 	for len(s.queue) > 0 {
 		e := heap.Pop(&s.queue).(event)
@@ -161,6 +175,34 @@
 	}
 }
 
+// report tells the other instances of a region of loads.
+func (s *sim) report(region string, from *Balancer) {
+	if s.now.Sub(epoch) > s.cfg.length {
+		return
+	}
+	loads := from.Loads(s.now)
+	s.after(s.cfg.reportDelay, func() {
+		for _, b := range s.balancers[region] {
+			if b != from {
+				b.RecordLoads(s.now, loads)
+			}
+		}
+	})
+	s.after(s.cfg.reportEvery, func() { s.report(region, from) })
+}
+
+// slowdownOf returns what a server says of its slowness.
+func (s *sim) slowdownOf(srv *simServer) float64 {
+	switch {
+	case !s.cfg.tellSlowdown:
+		return 0
+	case srv.said > 0:
+		return srv.said
+	default:
+		return srv.slowdown
+	}
+}
+
 // arrive schedules the next request of a region.
 func (s *sim) arrive(region string) {
 	t := s.now.Sub(epoch)
@@ -209,6 +251,7 @@
 
 func (s *sim) deliver(r *simRequest) {
 	srv := s.byID[r.choice.Server.ID]
+	r.reached = s.now
 	served := s.servedIn[s.now.Sub(epoch)/simWindow]
 	if served[r.region] == nil {
 		served[r.region] = map[string]int{}
@@ -218,7 +261,7 @@
 		s.window(r).shed++
 		load := srv.running + len(srv.queue)
 		s.after(s.oneWay(r), func() {
-			s.done(r, Result{Outcome: Shed, LoadReported: true, Load: load})
+			s.done(r, Result{Outcome: Shed, LoadReported: true, Load: load, Slowdown: s.slowdownOf(srv)})
 			r.tried = append(r.tried, srv.ID)
 			if r.sends < 2 {
 				s.send(r)
@@ -274,6 +317,7 @@
 
 func (s *sim) finish(srv *simServer, r *simRequest, completed bool) {
 	srv.running--
+	srv.busy += s.now.Sub(r.reached).Seconds()
 	for len(srv.queue) > 0 && srv.running < srv.Slots {
 		next := srv.queue[0]
 		srv.queue = srv.queue[1:]
@@ -297,7 +341,8 @@
 		default:
 			s.window(r).late++
 		}
-		s.done(r, Result{Outcome: Served, LoadReported: true, Load: load})
+		s.latencies = append(s.latencies, took)
+		s.done(r, Result{Outcome: Served, LoadReported: true, Load: load, Slowdown: s.slowdownOf(srv)})
 	})
 }
 
--- a/pkg/placement/status.go
+++ b/pkg/placement/status.go
@@ -17,6 +17,10 @@
 	Ejected     bool    `json:"ejected"`
 	Cold        bool    `json:"cold"`
 	WarmObjects int     `json:"warm_objects"`
+	// Moved is the share of the server's objects that is moved to other servers, and
+	// Said how slow the server says that it is; both are absent without even load.
+	Moved float64 `json:"moved,omitempty"`
+	Said  float64 `json:"said_speed,omitempty"`
 	// Limit is the rate that the server takes from all instances, and Share that
 	// of this one; both are absent if it has named no limit.
 	Limit float64 `json:"limit,omitempty"`
@@ -30,6 +34,7 @@
 		status := Status{
 			ID: s.ID, Service: s.Service, Slots: s.Slots, InFlight: len(s.pending), Load: s.load(now),
 			Slowdown: s.currentSlowdown(now), Ejected: now.Before(s.ejectedUntil), Cold: now.Before(s.ColdUntil), WarmObjects: len(s.warmObjects),
+			Moved: s.even.moved, Said: s.even.currentSlowdown(now),
 		}
 		if s.RateLimit != nil {
 			status.Limit, status.Share = s.RateLimit.PerSecond, s.RateLimit.Share
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -136,6 +136,9 @@
 	// LoadReported is set.
 	Load         int
 	LoadReported bool
+	// Slowdown is how long the server says that work takes there, as a multiple of the
+	// usual time; 0 if it does not say.
+	Slowdown float64
 	// RetryAfter is how long the server wants no requests from this entry
 	// instance; 0 if it does not say.
 	RetryAfter time.Duration
