Responses whose status is none of HTTP are no answers

Cause: net/http parses any three characters that read as a number. drentry took 000, 099, +20, 600, 999 and 101 for final statuses: the request was recorded as answered, and writing the status 000 to the caller panics. drgate took 000 to 099 for interim responses and delivered what followed them, and passed 600 to 999 on.

--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -136,12 +136,26 @@
 		sent := usedConn != nil && usedConn.blockWrites(countBefore)
 		return nil, &Error{Sent: sent, Err: err}
 	}
+	if !ValidStatus(resp.StatusCode) || resp.StatusCode < http.StatusOK {
+		_ = resp.Body.Close() // nothing of it is used
+		return nil, &Error{Sent: true, Err: errors.Errorf("status %q is no final status of HTTP", resp.Status)}
+	}
 	if !hasKnownEnd(r.Method, resp) {
 		resp.Body = unframedBody{resp.Body}
 	}
 	return resp, nil
 }
 
+// Bounds of a status.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// ValidStatus reports whether a status is one of HTTP. net/http parses any three digits,
+// and a sign with two.
+func ValidStatus(status int) bool { return status >= minStatus && status <= maxStatus }
+
 // hasKnownEnd reports whether the end of the body is known without the connection
 // being closed.
 func hasKnownEnd(method string, resp *http.Response) bool {
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/dandelionrack/dandelionrack/internal/bytebudget"
+	"github.com/dandelionrack/dandelionrack/internal/sendonce"
 )
 
 // keepAliveMargin is subtracted from the idle timeout that a server announces. It
@@ -260,6 +261,9 @@
 			return nil, false, errors.Wrap(shortenError(err), "read answer")
 		}
 		c.responded = true
+		if !sendonce.ValidStatus(resp.StatusCode) {
+			return nil, false, errors.Errorf("status %q is none of HTTP", resp.Status)
+		}
 		if resp.StatusCode < http.StatusOK {
 			if interim++; interim > maxInterim {
 				return nil, false, errors.Errorf("more than %d interim responses", maxInterim)
