replica, registry: a store that goes back to an older copy

Cause: copies take only higher versions, and the store gives versions out again: a wait across the change missed what was written (TestStoreErasInResponses), and entry instances that the copy lacked did not register again (TestStoreGoesBack); both tests failed before. Rows of the older copy undid drains and evacuations (TestRollback).

Versions hold the era that the store names; a store without one is served as before.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -66,6 +66,7 @@
 
 	mu       sync.Mutex // guards the fields below
 	tables   map[replica.TableName]*replica.Table
+	eras     map[replica.TableName]uint64 // of the store, as last logged
 	registry *registry.Registry
 	roster   *roster.Roster
 	links    map[string]*link
@@ -93,6 +94,7 @@
 	following     atomic.Bool      // reads the store for its region
 	followers     []*tableFollower // one for each replicated table; read-only after New
 	pushRequested chan struct{}
+	rolledBack    chan struct{} // the store has gone back to an older copy
 }
 
 // storeClient is a store client with the address that it was built for.
@@ -120,12 +122,14 @@
 		tables: map[replica.TableName]*replica.Table{
 			replica.Operator: replica.New(), replica.Servers: replica.New(),
 		},
+		eras:          map[replica.TableName]uint64{},
 		registry:      registry.New(o.Protocol),
 		notices:       notices.NewBook(),
 		links:         map[string]*link{},
 		rows:          newRowEncoder(),
 		started:       now,
 		pushRequested: make(chan struct{}, 1),
+		rolledBack:    make(chan struct{}, 1),
 	}
 	for _, table := range replicatedTables {
 		g.followers = append(g.followers, newTableFollower(g, table))
@@ -179,7 +183,7 @@
 	if err != nil {
 		return err
 	}
-	tasks := []func(context.Context){g.register, g.runPeers, g.runTimers}
+	tasks := []func(context.Context){g.register, g.registerAgain, g.runPeers, g.runTimers}
 	for _, f := range g.followers {
 		tasks = append(tasks, f.run)
 	}
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -22,7 +22,7 @@
 	requests, lookups, connections, retries, retriesDenied   expvar.Int
 	expectedWarm, mismatchedResponses, fullTables, coldSends expvar.Int
 	leavingNotices, responsesAfterLeaving, limitNotices      expvar.Int
-	pauses                                                   expvar.Int
+	pauses, rollbacks                                        expvar.Int
 	outcomes, refusals, upstream, storeCalls                 expvar.Map
 
 	mu        sync.Mutex
@@ -41,7 +41,7 @@
 		"requests": &m.requests, "lookups": &m.lookups, "backend_connections_opened": &m.connections,
 		"retries": &m.retries, "retries_denied": &m.retriesDenied, "expected_warm": &m.expectedWarm,
 		"foreign_answers": &m.mismatchedResponses, "whole_tables_sent": &m.fullTables, "sends_to_cold_servers": &m.coldSends,
-		"leaving_notices": &m.leavingNotices, "limit_notices": &m.limitNotices, "pauses": &m.pauses, "responses_after_leaving_notice": &m.responsesAfterLeaving,
+		"leaving_notices": &m.leavingNotices, "limit_notices": &m.limitNotices, "pauses": &m.pauses, "store_rollbacks": &m.rollbacks, "responses_after_leaving_notice": &m.responsesAfterLeaving,
 		"outcomes": m.outcomes.Init(), "refusals": m.refusals.Init(),
 		"upstream_results": m.upstream.Init(), "store_calls": m.storeCalls.Init(),
 	} {
--- a/pkg/ingress/sync.go
+++ b/pkg/ingress/sync.go
@@ -37,7 +37,14 @@
 		return
 	}
 	wasKnown := t.Initialized()
+	era, batchEra := replica.Era(t.Version()), replica.Era(batch.Version)
 	rows := t.Merge(now, batch)
+	newEra := false
+	if wasKnown && batchEra > era {
+		g.registry.RecordRollback(now)
+		newEra = batchEra > g.eras[table]
+		g.eras[table] = batchEra
+	}
 	var events []registry.Event
 	if table == replica.Operator {
 		events = g.registry.ApplyOperator(now, rows)
@@ -46,6 +53,11 @@
 	}
 	becameKnown := t.Initialized() && !wasKnown
 	g.mu.Unlock()
+	if newEra {
+		g.log.write(hclog.Warn, "the store has gone back to an older copy", "table", table, "era", batchEra, "before", era, "source", source)
+		g.metrics.rollbacks.Add(1)
+		notify(g.rolledBack)
+	}
 	g.logEvents(events, source)
 	if len(rows) == 0 && !becameKnown {
 		return
@@ -166,6 +178,21 @@
 	g.metrics.storeCalls.Add(call+" "+result, 1)
 }
 
+// registerAgain registers this instance whenever the store has gone back to an older copy,
+// which may lack the registration.
+func (g *Ingress) registerAgain(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.rolledBack:
+			if !g.leaving.Load() {
+				g.register(ctx)
+			}
+		}
+	}
+}
+
 // register writes this instance into the members table and reads the other members
 // from it.
 func (g *Ingress) register(ctx context.Context) {
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -49,6 +49,9 @@
 	outageExpiryWindow = 2 * time.Second
 	// removedTTL is how long a removed server is remembered.
 	removedTTL = 30 * time.Second
+	// rollbackTTL is how long rows that an older copy of the store lacks, or has again,
+	// count as they were before: until then they are written again.
+	rollbackTTL = 10 * time.Second
 )
 
 // Decoder decodes stored rows.
@@ -115,6 +118,9 @@
 	removedAt time.Time // zero: not removed
 	// graceUntil is set if the registration may have expired.
 	graceUntil time.Time
+	// returnsAt is when the server counts as present again although it was removed, if
+	// an older copy of the store has its registration; zero if none has.
+	returnsAt time.Time
 }
 
 // Registry holds the state derived from the rows seen so far. It is not safe for
@@ -132,6 +138,12 @@
 	outageStart, lastStoreFailure time.Time
 	// nextChange is NextChange of the last view.
 	nextChange time.Time
+	// rolledBackAt is when the store was last found to have gone back to an older copy;
+	// rows that are applied at this time are those of the copy.
+	rolledBackAt time.Time
+	// evacuationEnds holds evacuations that the older copy lacks, and when they end
+	// unless they are requested again.
+	evacuationEnds map[string]time.Time
 	// drain and interval are set by SetLimits.
 	drain, interval time.Duration
 }
@@ -140,7 +152,7 @@
 func New(d Decoder) *Registry {
 	limits := fleet.DefaultBounds()
 	return &Registry{
-		decoder: d, evacuated: map[string]bool{}, servers: map[string]*record{},
+		decoder: d, evacuated: map[string]bool{}, servers: map[string]*record{}, evacuationEnds: map[string]time.Time{},
 		drain: limits.Drain, interval: defaultInterval,
 	}
 }
@@ -161,9 +173,22 @@
 	r.lastStoreFailure = now
 }
 
+// RecordRollback records that the store has gone back to an older copy of its rows. The
+// rows that are applied with the same now are those of the copy: they do not say that
+// anything has changed, and what was written since will be written again.
+func (r *Registry) RecordRollback(now time.Time) { r.rolledBackAt = now }
+
+// rolledBack reports whether rows that are applied now are those of an older copy.
+func (r *Registry) rolledBack(now time.Time) bool {
+	return !r.rolledBackAt.IsZero() && now.Equal(r.rolledBackAt)
+}
+
 // afterStoreOutage reports whether a removal at this time may be an expiry caused
 // by a store outage.
 func (r *Registry) afterStoreOutage(now time.Time) bool {
+	if !r.rolledBackAt.IsZero() && now.Sub(r.rolledBackAt) < outageExpiryWindow {
+		return true
+	}
 	return !r.lastStoreFailure.IsZero() && now.Sub(r.lastStoreFailure) < outageExpiryWindow && r.lastStoreFailure.Sub(r.outageStart) >= 2*r.interval-outageMargin
 }
 
@@ -172,6 +197,11 @@
 	var events []Event
 	for _, row := range rows {
 		if domain, ok := r.decoder.EvacuatedDomain(row.Key); ok {
+			if row.Removed && r.rolledBack(now) && r.evacuated[domain] {
+				r.evacuationEnds[domain] = now.Add(rollbackTTL)
+				continue
+			}
+			delete(r.evacuationEnds, domain)
 			if r.setEvacuated(now, domain, !row.Removed) {
 				kind := EvacuationBegan
 				if row.Removed {
@@ -239,7 +269,11 @@
 func (r *Registry) applyServer(now time.Time, row replica.Row) (Event, bool) {
 	old := r.servers[row.Key]
 	if row.Removed {
-		if old == nil || !old.removedAt.IsZero() {
+		if old == nil {
+			return Event{}, false
+		}
+		old.returnsAt = time.Time{}
+		if !old.removedAt.IsZero() {
 			return Event{}, false
 		}
 		old.removedAt = now
@@ -268,6 +302,9 @@
 	}
 	if !newProcess {
 		next.coldUntil = later(next.coldUntil, old.coldUntil)
+		if r.rolledBack(now) {
+			next.keepLeaving(now, old)
+		}
 	}
 	r.servers[row.Key] = next
 	event := Event{Key: row.Key, RowVersion: row.Version, Detail: in.Service + " " + in.FailureDomain}
@@ -284,6 +321,17 @@
 	return event, true
 }
 
+// keepLeaving keeps what was known of a server whose registration is that of an older
+// copy: that it is leaving, or was removed though its registration could not have
+// expired. A server that was removed is used again only if the registration is still
+// there after rollbackTTL.
+func (rec *record) keepLeaving(now time.Time, old *record) {
+	rec.Draining = rec.Draining || old.Draining
+	if !old.removedAt.IsZero() && old.graceUntil.IsZero() {
+		rec.removedAt, rec.returnsAt = old.removedAt, now.Add(rollbackTTL)
+	}
+}
+
 // grantGrace sets the grace period of removed registrations that may have
 // expired.
 func (r *Registry) grantGrace(now time.Time) {
@@ -305,7 +353,7 @@
 		grace = min(ExpiryGrace, r.drain-drainMargin)
 	}
 	for id, rec := range r.servers {
-		if rec.removedAt.IsZero() {
+		if rec.removedAt.IsZero() || !rec.returnsAt.IsZero() {
 			continue
 		}
 		if now.Sub(rec.removedAt) > removedTTL {
@@ -318,14 +366,35 @@
 
 // View returns the configuration at a time.
 func (r *Registry) View(now time.Time) View {
+	for domain, end := range r.evacuationEnds {
+		if !now.Before(end) {
+			delete(r.evacuationEnds, domain)
+			r.setEvacuated(now, domain, false)
+		}
+	}
 	v := View{Document: r.document, Evacuated: maps.Clone(r.evacuated)}
+	changesAt := func(at time.Time) {
+		if v.NextChange.IsZero() || at.Before(v.NextChange) {
+			v.NextChange = at
+		}
+	}
+	for _, end := range r.evacuationEnds {
+		changesAt(end)
+	}
 	for _, rec := range r.servers {
+		switch {
+		case rec.returnsAt.IsZero():
+		case now.Before(rec.returnsAt):
+			changesAt(rec.returnsAt)
+		default:
+			rec.removedAt, rec.returnsAt = time.Time{}, time.Time{}
+		}
 		removed := !rec.removedAt.IsZero()
 		if rec.Draining || removed && !now.Before(rec.graceUntil) {
 			continue
 		}
-		if removed && (v.NextChange.IsZero() || rec.graceUntil.Before(v.NextChange)) {
-			v.NextChange = rec.graceUntil
+		if removed {
+			changesAt(rec.graceUntil)
 		}
 		v.Servers = append(v.Servers, Server{BackendServer: rec.BackendServer, ColdUntil: rec.coldUntil, InGracePeriod: removed})
 	}
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -130,6 +130,9 @@
 	if !t.initialized || peer.Version == 0 || peer.Version >= t.version || peer.Digest == t.digest {
 		return Batch{}, false
 	}
+	if Era(peer.Version) < Era(t.version) {
+		return t.Since(now, 0), true // what the store no longer has is not among the changes
+	}
 	t.prune(now)
 	b := t.batch(Batch{After: max(peer.Version, t.historyStart), Version: t.version}, peer.Version)
 	return b, len(b.Rows) > 0 || b.After == peer.Version
--- a/pkg/replica/store.go
+++ b/pkg/replica/store.go
@@ -41,3 +41,17 @@
 	// Remove deletes a row unconditionally.
 	Remove(ctx context.Context, table TableName, key string) error
 }
+
+// eraBits is the number of the low bits of a version that the store counts itself.
+const eraBits = 40
+
+// NewVersion returns the version of what a store wrote in an era. A store that goes back
+// to an older copy of its rows begins a new era and counts on from there, so that it
+// gives out versions again. Versions of a newer era are above all of an older one.
+func NewVersion(era, counted uint64) uint64 { return era<<eraBits | counted&(1<<eraBits-1) }
+
+// Era returns the era of a version.
+func Era(version uint64) uint64 { return version >> eraBits }
+
+// Counted returns the version as the store counts it in its era.
+func Counted(version uint64) uint64 { return version & (1<<eraBits - 1) }
