--- a/cmd/drctl/check.go
+++ b/cmd/drctl/check.go
@@ -1,38 +1,55 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"github.com/go-faster/errors"
 	"github.com/tailscale/hujson"
 
 	"github.com/dandelionrack/dandelionrack/pkg/config"
 	"github.com/dandelionrack/dandelionrack/pkg/findings"
+	"github.com/dandelionrack/dandelionrack/pkg/operator"
 	"github.com/dandelionrack/dandelionrack/pkg/settings"
 )
 
 type configCmd struct {
-	Check configCheckCmd `cmd:"" help:"Check contract and deployment files. A contract is checked against the deployment of its directory, or against the only one given."`
+	Check configCheckCmd `cmd:"" help:"Check contract and deployment files before they are sent. A contract is checked against the deployment of its directory, or against the only one given. With --server, also shows what differs from the version in force."`
 }
 
 type configCheckCmd struct {
-	Files []string `arg:"" name:"file" type:"existingfile"`
+	Files  []string `arg:"" name:"file" type:"existingfile"`
+	Strict bool     `help:"Fail if there are warnings: entries that have no effect or limits that contradict each other."`
 }
 
 // checkResult is the output of "drctl config check" for one valid file.
 type checkResult struct {
 	File string `json:"file"`
 	Kind string `json:"kind"`
+	// Differences are those from the version in force, if a server was named.
+	Differences []config.Difference `json:"differences,omitempty"`
+	InForce     uint64              `json:"in_force_version,omitempty"`
+	// Warnings concern the document that results from all files. Those that name no
+	// part of another file are with the first one.
+	Warnings []findings.Finding `json:"warnings,omitempty"`
 }
 
+// errWarnings is returned with --strict.
+var errWarnings = errors.New("the configuration has warnings")
+
 // fileCheck checks several files and collects the findings of all of them.
 type fileCheck struct {
 	deployments map[string]*config.Deployment // by directory
+	contracts   []*config.Contract
 	found       findings.List
 	results     []checkResult
+	values      []any // of the results
 }
 
 func (c *configCheckCmd) Run(s *session) error {
@@ -49,11 +66,96 @@
 	if err := check.found.Err(); err != nil {
 		return err
 	}
-	return s.emit(check.results, func(w io.Writer) {
+	var inForce *config.Document
+	if len(s.cli.Server) > 0 {
+		if inForce, err = call(s, func(ctx context.Context, c *operator.Client) (*config.Document, error) { return c.Document(ctx) }); err != nil {
+			return err
+		}
+		if err := check.compare(inForce); err != nil {
+			return err
+		}
+	}
+	warnings := check.review(inForce)
+	for _, f := range warnings {
+		i := check.resultOf(f)
+		check.results[i].Warnings = append(check.results[i].Warnings, f)
+	}
+	err = s.emit(check.results, func(w io.Writer) {
 		for _, r := range check.results {
 			row(w, r.File, r.Kind, "ok")
+			for _, f := range r.Warnings {
+				row(w, "", "warning", f)
+			}
+			for _, d := range r.Differences {
+				row(w, "", fmt.Sprintf("differs from version %d", r.InForce), d)
+			}
 		}
 	})
+	if err == nil && c.Strict && len(warnings) > 0 {
+		return errors.Wrap(errUsage, errWarnings.Error())
+	}
+	return err
+}
+
+// resultOf returns the index of the result that a warning belongs to.
+func (c *fileCheck) resultOf(f findings.Finding) int {
+	for i, v := range c.values {
+		switch v := v.(type) {
+		case *config.Deployment:
+			if strings.HasPrefix(f.Path, "deployment.") {
+				return i
+			}
+		case *config.Contract:
+			if strings.HasPrefix(f.Path, "contracts["+v.Customer+"]") {
+				return i
+			}
+		}
+	}
+	return 0
+}
+
+// compare adds to each result what differs from the document in force.
+func (c *fileCheck) compare(inForce *config.Document) error {
+	for i := range c.results {
+		var before any
+		switch v := c.values[i].(type) {
+		case *config.Deployment:
+			before = inForce.Deployment
+		case *config.Contract:
+			before = inForce.Contracts[v.Customer]
+		}
+		differences, err := config.Compare(before, c.values[i])
+		if err != nil {
+			return errors.Wrapf(err, "compare %s", c.results[i].File)
+		}
+		c.results[i].Differences, c.results[i].InForce = differences, inForce.Version
+	}
+	return nil
+}
+
+// review returns warnings on the document that results if the files are applied: to the
+// one in force, or to an empty one if that is not known.
+func (c *fileCheck) review(inForce *config.Document) []findings.Finding {
+	doc := &config.Document{Contracts: map[string]*config.Contract{}}
+	if inForce != nil {
+		doc.Deployment, doc.Drains = inForce.Deployment, inForce.Drains
+		maps.Copy(doc.Contracts, inForce.Contracts)
+	}
+	if len(c.deployments) > 1 || len(c.results) == 0 {
+		return []findings.Finding{} // nobody sends two deployments
+	}
+	for _, d := range c.deployments {
+		doc.Deployment = *d
+	}
+	for _, contract := range c.contracts {
+		doc.Contracts[contract.Customer] = contract
+	}
+	if len(doc.Deployment.Regions) == 0 {
+		return []findings.Finding{} // a contract alone
+	}
+	var list findings.List
+	doc.Review(&list)
+	return append([]findings.Finding{}, list.Items()...)
 }
 
 // checkDeployments checks the deployment files and returns the files that hold
@@ -86,6 +188,7 @@
 	}
 	c.deployments[filepath.Dir(file)] = d
 	c.results = append(c.results, checkResult{File: file, Kind: "deployment"})
+	c.values = append(c.values, d)
 	return nil
 }
 
@@ -97,6 +200,7 @@
 		return c.addFindings(err)
 	}
 	c.results = append(c.results, checkResult{File: file, Kind: "contract"})
+	c.values, c.contracts = append(c.values, contract), append(c.contracts, contract)
 	return nil
 }
 
