--- a/pkg/ingress/messages.go
+++ b/pkg/ingress/messages.go
@@ -34,6 +34,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out := g.statusMessageLocked(now, l.member)
+	if l.member.Region == g.self.Region {
+		// Not in responses: the peer makes calls of its own.
+		out.Loads = encodeLoads(g.selector.loads(now))
+	}
 	push := g.following.Load() && (l.member.Region == g.self.Region || l.lacksRows(now))
 	for _, name := range replicatedTables {
 		t := g.tables[name]
@@ -85,9 +89,6 @@
 	status := g.statusLocked(now)
 	out := &wire.ReplicaSync{Member: encodeMember(g.self), FailingServers: g.selector.ejected(now), RestartedServers: g.selector.unknownStarts(), Notices: g.noticesLocked(now)}
 	out.Quota = g.quotas.report(now, peer)
-	if peer.Region == g.self.Region {
-		out.Loads = encodeLoads(g.selector.loads(now))
-	}
 	out.Member.State = wireStates[status.State]
 	out.Member.Following = status.Following
 	out.StandbyRank = uint32(g.roster.StandbyRank(now, peer.ID))
