--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -70,21 +70,14 @@
 	preferred := placed
 	var moved *server // the first server of the ranking, if the object is moved from it
 	for s, weight := range x.b.ranked(x.r.Service, x.r.Object, local) {
-		if moved == nil && candidates == 0 && x.b.movesObject(x.now, s, x.r.Object, weight) {
+		allowed := len(x.r.AllowedRegions) == 0 || slices.Contains(x.r.AllowedRegions, s.Region)
+		if allowed && moved == nil && candidates == 0 && x.b.movesObject(x.now, s, x.r.Object, weight) {
 			moved = s
 			continue
 		}
 		isPreferred := preferred
 		preferred = preferred && s.RateLimit != nil
-		if len(x.r.AllowedRegions) > 0 && !slices.Contains(x.r.AllowedRegions, s.Region) {
-			continue
-		}
-		x.considered++
-		if slices.Contains(x.r.Exclude, s.ID) || !x.b.available(x.now, s) {
-			x.excluded++
-			if x.excluded == 1 || s.PausedUntil.Before(x.firstPauseEnd) {
-				x.firstPauseEnd = s.PausedUntil
-			}
+		if !allowed || !x.usable(s) {
 			continue
 		}
 		if x.consider(s, isPreferred) {
@@ -94,14 +87,22 @@
 			break
 		}
 	}
-	if moved != nil && x.allows(moved) && x.b.available(x.now, moved) {
+	if moved != nil && x.usable(moved) {
 		x.consider(moved, false)
 	}
 }
 
-// allows reports whether the request may be sent to a server.
-func (x *search) allows(s *server) bool {
-	return (len(x.r.AllowedRegions) == 0 || slices.Contains(x.r.AllowedRegions, s.Region)) && !slices.Contains(x.r.Exclude, s.ID)
+// usable reports whether a server may get the request, and counts it.
+func (x *search) usable(s *server) bool {
+	x.considered++
+	if !slices.Contains(x.r.Exclude, s.ID) && x.b.available(x.now, s) {
+		return true
+	}
+	x.excluded++
+	if x.excluded == 1 || s.PausedUntil.Before(x.firstPauseEnd) {
+		x.firstPauseEnd = s.PausedUntil
+	}
+	return false
 }
 
 // consider records an available server, and reports whether it meets the objective.
