--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -318,10 +318,7 @@
 		return
 	}
 	o.updatedAt = now
-	weight := min(1, dt.Seconds()/demandTimeConstant.Seconds())
-	o.own += weight * (float64(o.offered)/dt.Seconds() - o.own)
-	o.admitted += weight * (float64(o.passed)/dt.Seconds() - o.admitted)
-	o.offered, o.passed = 0, 0
+	o.measure(dt)
 	if b.heardAt.IsZero() {
 		b.heardAt = now // it may be the only instance until then
 	}
@@ -333,32 +330,46 @@
 	if !cut && !unconfirmed {
 		o.part = b.share(o)
 	}
+	allowed, free := b.updateAccount(now, dt, o, cut)
+	wasLimited := o.limited
+	o.limited = cut || unconfirmed && now.Sub(o.roseAt) > confirmTime || o.level < free
+	o.rate = allowed * o.part
+	depth := max(minBucket, o.rate*bucketTime.Seconds())
+	if !wasLimited {
+		o.tokens = depth // it has no meaning without a limit
+	}
+	o.tokens = min(depth, o.tokens+o.rate*dt.Seconds())
+	if rise := o.rise(); o.own-o.reported > rise || b.domainSum(o)-o.reportSum > rise*domainRise {
+		b.rising = true
+	}
+}
+
+// measure updates the demand at this instance from the requests of the time dt.
+func (o *organisation) measure(dt time.Duration) {
+	weight := min(1, dt.Seconds()/demandTimeConstant.Seconds())
+	o.own += weight * (float64(o.offered)/dt.Seconds() - o.own)
+	o.admitted += weight * (float64(o.passed)/dt.Seconds() - o.admitted)
+	o.offered, o.passed = 0, 0
+}
+
+// updateAccount updates what is left of the burst. It returns the rate that all instances
+// together may admit, and what must be left for demand not to be limited.
+func (b *Book) updateAccount(now time.Time, dt time.Duration, o *organisation, cut bool) (allowed, free float64) {
 	perSecond, full, free := b.account(now, o)
-	allowed := perSecond
 	switch {
 	case cut:
 		allowed = o.PerSecond
 	case o.level < 0:
-		allowed = max(minShare*perSecond, allowed+o.level/paybackTime.Seconds())
+		allowed = max(minShare*perSecond, perSecond+o.level/paybackTime.Seconds())
 	default:
-		allowed += o.level / burstTime.Seconds()
+		allowed = perSecond + o.level/burstTime.Seconds()
 	}
 	o.level += (perSecond - o.elsewhere - o.admitted) * dt.Seconds()
 	o.level = min(full, max(o.level, -maxDebt.Seconds()*perSecond))
 	if o.level < -overrunTime.Seconds()*perSecond {
 		o.overrunAt = now
 	}
-	wasLimited := o.limited
-	o.limited = cut || unconfirmed && now.Sub(o.roseAt) > confirmTime || o.level < free
-	o.rate = allowed * o.part
-	depth := max(minBucket, o.rate*bucketTime.Seconds())
-	if !wasLimited {
-		o.tokens = depth // it has no meaning without a limit
-	}
-	o.tokens = min(depth, o.tokens+o.rate*dt.Seconds())
-	if rise := o.rise(); o.own-o.reported > rise || b.domainSum(o)-o.reportSum > rise*domainRise {
-		b.rising = true
-	}
+	return allowed, free
 }
 
 // rise returns by how much demand must rise to be reported at once.
