--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -42,6 +42,8 @@
 	killMemory = 8 * machineMemory
 	// patience bounds the waits of the rig; none of them is checked for its length.
 	patience = time.Minute
+	// backendSlots are more than the requests of a crowd.
+	backendSlots = 10_000
 )
 
 const (
@@ -117,9 +119,14 @@
 	}
 	store.PutDocument(fleet.NewDocument(3, []fleet.Route{route("held"), route("prompt")}, []fleet.Service{service("held"), service("prompt")},
 		fleet.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}))
-	for id, hold := range map[string]bool{"held": true, "prompt": false} {
+	for service, serviceTime := range map[string]time.Duration{"held": patience, "prompt": 0} {
+		backend := &standin.Backend{
+			ID: service, Service: service, Region: "north", Slots: backendSlots, ServiceTime: serviceTime, Observe: func(standin.BackendRequest) {},
+		}
+		require.NoError(t, backend.Start())
+		t.Cleanup(backend.Crash)
 		store.Register(fleet.BackendServer{
-			ID: id, Service: id, Addr: startBackend(t, hold), FailureDomain: "north-a", Slots: 10_000, StartTime: time.Now().Add(-time.Hour),
+			ID: service, Service: service, Addr: backend.Addr(), FailureDomain: "north-a", Slots: backendSlots, StartTime: time.Now().Add(-time.Hour),
 		})
 	}
 	addr := func() string {
@@ -154,73 +161,70 @@
 	return g
 }
 
-// startBackend starts a backend server that answers at once, or at the end of the test.
-func startBackend(t *testing.T, hold bool) string {
-	released := make(chan struct{})
-	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if hold && r.URL.Path == heldPath {
-			select {
-			case <-released:
-			case <-r.Context().Done():
-			}
-		}
-		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-		w.Header().Set("X-Backend-Signature", "s")
-		_, _ = io.WriteString(w, "ok")
-	})}
-	addr, err := testbed.FreeAddr()
-	require.NoError(t, err)
-	srv.Addr = addr
-	go func() { _ = srv.ListenAndServe() }()
-	t.Cleanup(func() {
-		close(released)
-		_ = srv.Close()
-	})
-	return addr
-}
-
 func (g *instance) clients() target {
 	head := func(method, path string) string { return method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\n" }
 	return target{
 		pid: g.process.Process.Pid, addr: g.ClientAddr,
 		held: head("GET", heldPath), prompt: head("GET", promptPath), post: head("POST", promptPath),
-		ask: func() error { return get("http://"+g.ClientAddr+promptPath, host, "") },
+		ask: func() error {
+			return answered(func(client *http.Client) (int, error) {
+				resp, err := standin.Send(context.Background(), client, g.ClientAddr, standin.Request{
+					ID: "ordinary", Host: host, Method: http.MethodGet, Target: promptPath, AffinityKey: "1", TimeLeft: patience,
+				})
+				return resp.Status, err
+			})
+		},
 	}
 }
 
 func (g *instance) directory() target {
-	const path = "/api/resolve?name=" + host + "&region=north&zone=north-a"
-	head := "GET " + path + " HTTP/1.1\r\nHost: directory\r\n"
+	head := "GET /lookup HTTP/1.1\r\nHost: directory\r\n"
 	return target{
 		pid: g.process.Process.Pid, addr: g.DirectoryAddr, held: head, prompt: head, post: head,
-		ask: func() error { return get("http://"+g.DirectoryAddr+path, "", "") },
+		ask: func() error {
+			return answered(func(client *http.Client) (int, error) {
+				_, err := standin.Lookup(context.Background(), client, g.DirectoryAddr, "north", "north-a")
+				return http.StatusOK, err
+			})
+		},
 	}
 }
 
-func get(url, host, token string) error {
+// answered sends a request on a new connection and returns an error unless the answer is
+// a success.
+func answered(send func(*http.Client) (int, error)) error {
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	status, err := send(&http.Client{Transport: transport})
+	if err == nil && status != http.StatusOK {
+		err = errors.Errorf("status %d", status)
+	}
+	return err
+}
+
+// get sends a request to drentry and returns the status of the answer.
+func get(client *http.Client, url, token string) (int, error) {
 	req, err := http.NewRequest(http.MethodGet, url, nil)
 	if err != nil {
-		return err
-	}
-	req.Host = host
-	req.Header.Set("X-Request-Id", "ordinary")
-	if token != "" {
-		req.Header.Set("Authorization", "Bearer "+token)
+		return 0, err
 	}
-	transport := &http.Transport{}
-	defer transport.CloseIdleConnections()
-	resp, err := (&http.Client{Transport: transport}).Do(req)
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := client.Do(req)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("status %d", resp.StatusCode)
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+// objectLine returns the header line with which a client names an object.
+func objectLine(name string) string {
+	req, err := standin.Request{Method: http.MethodGet, AffinityKey: name}.HTTPRequest(context.Background(), "localhost")
+	if err != nil {
+		panic(err) // unreachable: the request is constant
 	}
-	return nil
+	return "Cookie: " + req.Header.Get("Cookie") + "\r\n"
 }
 
 // entryBed starts deployments of drentry. Each test gets an entry instance that no test
@@ -259,7 +263,11 @@
 	}
 	return target{
 		pid: pid, addr: in.CallerAddr, held: head("GET"), prompt: head("GET"), post: head("POST"),
-		ask: func() error { return get("http://"+in.CallerAddr+entryPath, "", entryToken) },
+		ask: func() error {
+			return answered(func(client *http.Client) (int, error) {
+				return get(client, "http://"+in.CallerAddr+entryPath, entryToken)
+			})
+		},
 	}
 }
 
--- a/test/clients/crowd_test.go
+++ b/test/clients/crowd_test.go
@@ -66,7 +66,7 @@
 func none(target) string    { return "" }
 func held(to target) string { return to.held }
 func chunked(to target) string {
-	return to.post + "X-Request-Id: c\r\nTransfer-Encoding: chunked\r\n\r\n"
+	return to.post + "Transfer-Encoding: chunked\r\n\r\n"
 }
 
 // oddHeads are heads that any listener may get.
@@ -95,7 +95,7 @@
 		play{name: "long names of objects", conns: crowdSize, sent: func(to target, i int) io.Reader {
 			var all []io.Reader
 			for n := range objects {
-				all = append(all, strings.NewReader(fmt.Sprintf("%sX-Request-Id: o\r\nCookie: X-Affinity-Key=%d-%d-%s\r\n\r\n", to.prompt, i, n, lines("x", legalHead))))
+				all = append(all, strings.NewReader(to.prompt+objectLine(fmt.Sprintf("%d-%d-%s", i, n, lines("x", legalHead)))+"\r\n"))
 			}
 			return io.MultiReader(all...)
 		}},
@@ -238,7 +238,7 @@
 			c, err := net.Dial("tcp", to.addr)
 			require.NoError(t, err)
 			defer c.Close()
-			_, err = io.WriteString(c, to.prompt+"X-Request-Id: legal\r\n"+head+"\r\n")
+			_, err = io.WriteString(c, to.prompt+head+"\r\n")
 			require.NoError(t, err)
 			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 			require.NoError(t, err)
