--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -169,7 +169,7 @@
 		ask: func() error {
 			return answered(func(client *http.Client) (int, error) {
 				resp, err := standin.Send(context.Background(), client, g.ClientAddr, standin.Request{
-					ID: "ordinary", Host: host, Method: http.MethodGet, Target: promptPath, AffinityKey: "1", TimeLeft: patience,
+					ID: "ordinary", Host: host, Method: http.MethodGet, Target: promptPath, TimeLeft: patience,
 				})
 				return resp.Status, err
 			})
