--- /dev/null
+++ b/review/standin-2/main.go
@@ -0,0 +1,36 @@
+// Command standin2 plays the scripts of the second review: it starts entry instances as
+// separate processes, with stand-ins of the platform, backend servers and clients.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+func main() {
+	if len(os.Args) < 3 {
+		fmt.Fprintln(os.Stderr, "usage: standin2 CASE RECORD [ARG]")
+		os.Exit(2)
+	}
+	b, err := newBed(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	code := 2
+	switch os.Args[1] {
+	case "lost-machines":
+		code, err = lostMachines(b, trouble, os.Args[3])
+	case "old-beat":
+		code, err = oldBeat(b, trouble)
+	default:
+		err = fmt.Errorf("unknown case %q", os.Args[1])
+	}
+	if err != nil {
+		b.rec.say("%v", err)
+	}
+	b.end()
+	b.rec.say("exit %d", code)
+	os.Exit(code)
+}
