--- a/review/standin-2/lost.go
+++ b/review/standin-2/lost.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -13,15 +14,32 @@
 	stableWindow = 4 * time.Second
 )
 
-// lostMachines kills all machines but one at the same moment, and then lets a backend
-// server leave and a route move to another service.
-func lostMachines(b *bed, trouble bool, survivor string) (int, error) {
-	const host, prefix = "jepu9.example", "/xapu221/"
-	machines := []machine{
+// threeRegions are the machines of the site, allButOne those of them that are lost.
+var (
+	threeRegions = []machine{
 		{"attiki-a", "attiki", "edge-attiki-a-1"}, {"makedonia-a", "makedonia", "edge-makedonia-a-1"}, {"kriti-a", "kriti", "edge-kriti-a-1"},
 		{"attiki-b", "attiki", "edge-attiki-b-1"}, {"makedonia-b", "makedonia", "edge-makedonia-b-1"}, {"kriti-b", "kriti", "edge-kriti-b-1"},
 		{"attiki-a", "attiki", "edge-attiki-a-2"}, {"attiki-b", "attiki", "edge-attiki-b-2"},
 	}
+	allButOne = []string{
+		"edge-attiki-a-1", "edge-makedonia-a-1", "edge-kriti-a-1", "edge-makedonia-b-1", "edge-kriti-b-1", "edge-attiki-a-2", "edge-attiki-b-2",
+	}
+)
+
+// oneRegion are as many machines in a single region, leaders the one that follows the
+// store there, by its name, and its two standbys.
+var (
+	oneRegion = []machine{
+		{"attiki-a", "attiki", "edge-attiki-a-1"}, {"attiki-a", "attiki", "edge-attiki-a-2"}, {"attiki-a", "attiki", "edge-attiki-a-3"}, {"attiki-a", "attiki", "edge-attiki-a-4"},
+		{"attiki-b", "attiki", "edge-attiki-b-1"}, {"attiki-b", "attiki", "edge-attiki-b-2"}, {"attiki-b", "attiki", "edge-attiki-b-3"}, {"attiki-b", "attiki", "edge-attiki-b-4"},
+	}
+	leaders = []string{"edge-attiki-a-2", "edge-attiki-b-4", "edge-attiki-a-1"}
+)
+
+// lostMachines kills some machines at the same moment, and then lets a backend server
+// leave and a route move to another service. Clients use one of those that are left.
+func lostMachines(b *bed, trouble bool, machines []machine, victims []string, survivor string) (int, error) {
+	const host, prefix = "jepu9.example", "/xapu221/"
 	r := route{Name: "r-exd9dnn", Host: host, Prefix: prefix, Kind: "non_idempotent", Service: "wuno96b", Timeout: 6 * time.Second, Aim: 800 * time.Millisecond, Attempts: 2, Priority: 1}
 	look := route{Name: "r-2b9wu3f", Host: host, Prefix: "/lepu270/", Kind: "idempotent", Service: "huvo11a", Timeout: 4 * time.Second, Aim: 600 * time.Millisecond, Attempts: 2, Priority: 2}
 	services := []string{"wuno96b", "huvo11a", "kafi81c"}
@@ -50,11 +68,12 @@
 	var x *node
 	var lost []*node
 	for _, n := range b.nodes {
-		if n.name == survivor {
+		switch {
+		case n.name == survivor:
 			x = n
-			continue
+		case slices.Contains(victims, n.name):
+			lost = append(lost, n)
 		}
-		lost = append(lost, n)
 	}
 	if x == nil {
 		return 2, fmt.Errorf("no machine %q", survivor)
@@ -64,7 +83,7 @@
 		for _, n := range lost {
 			<-n.ended
 		}
-		b.rec.say("%d of %d machines are lost, %s is left", len(lost), len(b.nodes), x.name)
+		b.rec.say("%d of %d machines are lost; clients use %s", len(lost), len(b.nodes), x.name)
 	}
 	time.Sleep(200 * time.Millisecond)
 
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -3,13 +3,14 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 )
 
 func main() {
 	if len(os.Args) < 3 {
-		fmt.Fprintln(os.Stderr, "usage: standin2 CASE RECORD [ARG]")
+		fmt.Fprintln(os.Stderr, "usage: standin2 CASE RECORD")
 		os.Exit(2)
 	}
 	b, err := newBed(os.Args[2])
@@ -21,9 +22,13 @@
 	code := 2
 	switch os.Args[1] {
 	case "lost-machines":
-		code, err = lostMachines(b, trouble, os.Args[3])
+		code, err = lostMachines(b, trouble, threeRegions, allButOne, "edge-attiki-b-1")
+	case "lost-leaders":
+		code, err = lostMachines(b, trouble, oneRegion, leaders, "edge-attiki-b-3")
 	case "old-beat":
 		code, err = oldBeat(b, trouble)
+	case "foreign-entry":
+		code, err = foreignEntry(b, trouble, cmp.Or(os.Getenv("LACKS"), "seq"))
 	default:
 		err = fmt.Errorf("unknown case %q", os.Args[1])
 	}
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -72,6 +72,14 @@
 	return time.Now()
 }
 
+// remove removes a row and returns the time of the confirmation.
+func (s *store) remove(table, key string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commit(nil, []rowJSON{{Table: table, Key: key}})
+	return time.Now()
+}
+
 // beat writes what a backend server says of itself. The row changes when more than seq
 // changes.
 func (s *store) beat(id string, entry map[string]any) time.Time {
