--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -40,6 +40,7 @@
 	id, service, zone string
 	slots             int
 	work              time.Duration
+	size              int // of a body, if it is longer than the text
 	born              time.Time
 	rec               *record
 	seen              *arrivals
@@ -126,7 +127,7 @@
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
-	_, _ = io.WriteString(w, text)
+	_, _ = io.WriteString(w, padded(text, b.size))
 }
 
 // exit ends the server at once, with its connections.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"fmt"
 	"os"
+	"time"
 )
 
 func main() {
@@ -29,6 +30,11 @@
 		code, err = oldBeat(b, trouble)
 	case "foreign-entry":
 		code, err = foreignEntry(b, trouble, cmp.Or(os.Getenv("LACKS"), "seq"))
+	case "slow-reader":
+		var pause time.Duration
+		if pause, err = time.ParseDuration(cmp.Or(os.Getenv("PAUSE"), "2900ms")); err == nil {
+			code, err = slowReader(b, trouble, pause)
+		}
 	default:
 		err = fmt.Errorf("unknown case %q", os.Args[1])
 	}
